--- /dev/null
+++ b/source/base/clock.hpp
@@ -0,0 +1,43 @@
+// Time as decision code sees it: a concept, so that tests supply their own clock.
+
+#ifndef OSPREYSTAIR_BASE_CLOCK_HPP
+#define OSPREYSTAIR_BASE_CLOCK_HPP
+
+#include <chrono>
+#include <concepts>
+
+namespace ospreystair::base
+{
+
+using time_point = std::chrono::steady_clock::time_point;
+using duration = std::chrono::steady_clock::duration;
+
+/// A source of monotonic time.
+template<class Clock>
+concept clock_source = requires(const Clock& clock)
+{
+    {
+        clock.now()
+        } -> std::same_as<time_point>;
+};
+
+/// The machine's monotonic clock.
+struct steady_clock_source
+{
+    time_point now() const { return std::chrono::steady_clock::now(); }
+};
+
+/// A clock that moves only when told to; for tests and benchmarks of decision code.
+class manual_clock
+{
+public:
+    time_point now() const { return m_now; }
+    void advance(duration step) { m_now += step; }
+
+private:
+    time_point m_now{};
+};
+
+} // namespace ospreystair::base
+
+#endif
--- /dev/null
+++ b/source/http/client_connection.cpp
@@ -0,0 +1,192 @@
+// HTTP client exchanges with deadlines.
+
+#include "http/client_connection.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::http
+{
+
+client_connection::client_connection(asio::io_context& context)
+    : m_stream(asio::make_strand(context))
+{
+}
+
+awaitable<std::optional<std::shared_ptr<client_connection>>>
+client_connection::connect(asio::io_context& context, tcp::endpoint address,
+                           std::chrono::steady_clock::time_point deadline, base::error& reason)
+{
+    std::shared_ptr<client_connection> result(new client_connection(context));
+    result->m_address = address;
+    const auto connect_on_strand = [result, address,
+                                    deadline]() -> awaitable<boost::system::error_code>
+    {
+        boost::system::error_code code;
+        result->m_stream.expires_at(deadline);
+        co_await result->m_stream.async_connect(address,
+                                                asio::redirect_error(asio::use_awaitable, code));
+        if (!code)
+        {
+            boost::system::error_code ignored;
+            result->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+            result->m_stream.expires_never();
+        }
+        co_return code;
+    };
+    const boost::system::error_code code = co_await asio::co_spawn(
+        result->m_stream.get_executor(), connect_on_strand, asio::use_awaitable);
+    if (code)
+    {
+        reason = result->describe_failure(code, "connect");
+        co_return std::nullopt;
+    }
+    result->m_is_open.store(true);
+    co_return result;
+}
+
+awaitable<std::optional<response>>
+client_connection::exchange(std::shared_ptr<const request> message,
+                            std::chrono::steady_clock::time_point deadline,
+                            exchange_progress& progress, base::error& reason)
+{
+    const auto self = shared_from_this();
+    const auto work = [self, message = std::move(message), deadline]
+    {
+        return self->exchange_on_strand(message, deadline);
+    };
+    exchange_result result =
+        co_await asio::co_spawn(m_stream.get_executor(), work, asio::use_awaitable);
+    progress = result.progress;
+    if (!result.reply)
+        reason = std::move(result.reason);
+    co_return std::move(result.reply);
+}
+
+awaitable<client_connection::exchange_result>
+client_connection::exchange_on_strand(std::shared_ptr<const request> message,
+                                      std::chrono::steady_clock::time_point deadline)
+{
+    exchange_result result;
+    if (!m_is_open.load())
+    {
+        result.reason = {base::error_kind::unreachable,
+                         "the connection is closed; use another replica or try again",
+                         {}};
+        co_return result;
+    }
+    boost::system::error_code code;
+    m_stream.expires_at(deadline);
+    // A failed write may still have delivered bytes, so that only the state before it is certain.
+    result.progress = exchange_progress::sent;
+    co_await beast::http::async_write(m_stream, *message,
+                                      asio::redirect_error(asio::use_awaitable, code));
+    std::string_view step = "send";
+    beast::http::response_parser<beast::http::string_body> parser;
+    parser.body_limit(max_reply_bytes);
+    if (!code)
+    {
+        step = "receive";
+        co_await beast::http::async_read(m_stream, m_buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, code));
+    }
+    if (code)
+    {
+        result.reason = describe_failure(code, step);
+        close_on_strand();
+        co_return result;
+    }
+    m_stream.expires_never();
+    result.progress = exchange_progress::answered;
+    result.reply = parser.release();
+    // Bytes beyond the reply belong to no request; the connection cannot be trusted any more.
+    if (!result.reply->keep_alive() || m_buffer.size() != 0)
+        close_on_strand();
+    co_return result;
+}
+
+awaitable<bool> client_connection::is_closed_by_peer()
+{
+    const auto self = shared_from_this();
+    co_return co_await asio::co_spawn(
+        m_stream.get_executor(),
+        [self]() -> awaitable<bool>
+        {
+            char byte = 0;
+            boost::system::error_code code;
+            self->m_stream.socket().non_blocking(true, code);
+            self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
+                                            code);
+            const bool is_idle = code == asio::error::would_block;
+            if (!is_idle)
+                self->close_on_strand();
+            co_return !is_idle;
+        },
+        asio::use_awaitable);
+}
+
+void client_connection::close()
+{
+    m_is_open.store(false);
+    m_is_cancelled.store(true);
+    asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->close_on_strand(); });
+}
+
+void client_connection::close_on_strand()
+{
+    m_is_open.store(false);
+    boost::system::error_code code;
+    m_stream.socket().shutdown(tcp::socket::shutdown_both, code);
+    m_stream.close();
+}
+
+base::error client_connection::describe_failure(boost::system::error_code code,
+                                                std::string_view step) const
+{
+    const std::string address =
+        fmt::format("{}:{}", m_address.address().to_string(), m_address.port());
+    if (code == beast::error::timeout)
+        return {base::error_kind::timeout,
+                fmt::format("{} to {} timed out; allow more time or use another replica", step,
+                            address),
+                {}};
+    if (m_is_cancelled.load())
+        return {
+            base::error_kind::cancelled, fmt::format("{} to {} was cancelled", step, address), {}};
+    if (code.category() == make_error_code(beast::http::error::end_of_stream).category() &&
+        code != beast::http::error::end_of_stream && code != beast::http::error::partial_message)
+        return {base::error_kind::protocol,
+                fmt::format("{} from {} is not HTTP/1.1: {}; check the address", step, address,
+                            code.message()),
+                {}};
+    return {base::error_kind::unreachable,
+            fmt::format("{} to {} failed: {}; check that the process runs", step, address,
+                        code.message()),
+            {}};
+}
+
+awaitable<std::optional<response>> exchange_once(asio::io_context& context, tcp::endpoint address,
+                                                 request message,
+                                                 std::chrono::steady_clock::time_point deadline,
+                                                 exchange_progress& progress, base::error& reason)
+{
+    progress = exchange_progress::nothing_sent;
+    auto connection =
+        co_await client_connection::connect(context, std::move(address), deadline, reason);
+    if (!connection)
+        co_return std::nullopt;
+    auto reply = co_await (*connection)
+                     ->exchange(std::make_shared<const request>(std::move(message)), deadline,
+                                progress, reason);
+    (*connection)->close();
+    co_return reply;
+}
+
+tcp::endpoint make_endpoint(const std::string& host, std::uint16_t port)
+{
+    boost::system::error_code code;
+    return {asio::ip::make_address(host, code), port};
+}
+
+} // namespace ospreystair::http
--- /dev/null
+++ b/source/http/client_connection.hpp
@@ -0,0 +1,83 @@
+// One client connection for HTTP/1.1, and how far an exchange on it came.
+
+#ifndef OSPREYSTAIR_HTTP_CLIENT_CONNECTION_HPP
+#define OSPREYSTAIR_HTTP_CLIENT_CONNECTION_HPP
+
+#include <chrono>
+#include <memory>
+#include <optional>
+
+#include "base/error.hpp"
+#include "http/asio.hpp"
+
+namespace ospreystair::http
+{
+
+/// How far an exchange came before it ended. Tells "not run" from "unknown".
+enum class exchange_progress
+{
+    nothing_sent, ///< No byte of the request was handed to the network.
+    sent,         ///< The other side may have read the request.
+    answered      ///< The whole reply arrived.
+};
+
+/// A connection that carries one request at a time. The stream is used on its own strand only, so
+/// that any thread may call any member.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    static constexpr std::size_t max_reply_bytes = 4 << 20;
+
+    /// Connects before `deadline`. Fails with unreachable or timeout.
+    static awaitable<std::optional<std::shared_ptr<client_connection>>>
+    connect(asio::io_context& context, tcp::endpoint address,
+            std::chrono::steady_clock::time_point deadline, base::error& reason);
+
+    /// Sends a request and reads its reply. After a failure, and after a reply with
+    /// `Connection: close`, the connection is closed. `progress` tells how far it came.
+    /// Fails with unreachable, timeout, cancelled or protocol.
+    awaitable<std::optional<response>> exchange(std::shared_ptr<const request> message,
+                                                std::chrono::steady_clock::time_point deadline,
+                                                exchange_progress& progress, base::error& reason);
+
+    /// Closes the connection; an exchange in flight fails with cancelled.
+    void close();
+
+    /// Whether the connection can carry another request, as far as is known here.
+    bool is_open() const { return m_is_open.load(); }
+    /// Whether the other side has closed an idle connection. Call it only between exchanges.
+    awaitable<bool> is_closed_by_peer();
+
+private:
+    struct exchange_result
+    {
+        std::optional<response> reply;
+        exchange_progress progress = exchange_progress::nothing_sent;
+        base::error reason;
+    };
+
+    explicit client_connection(asio::io_context& context);
+    awaitable<exchange_result> exchange_on_strand(std::shared_ptr<const request> message,
+                                                  std::chrono::steady_clock::time_point deadline);
+    base::error describe_failure(boost::system::error_code code, std::string_view step) const;
+    void close_on_strand();
+
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    tcp::endpoint m_address;
+    std::atomic<bool> m_is_open{false};
+    std::atomic<bool> m_is_cancelled{false};
+};
+
+/// Connects, performs one exchange and closes the connection.
+awaitable<std::optional<response>> exchange_once(asio::io_context& context, tcp::endpoint address,
+                                                 request message,
+                                                 std::chrono::steady_clock::time_point deadline,
+                                                 exchange_progress& progress, base::error& reason);
+
+/// Parses an IP address and port that settings or documents have already checked.
+tcp::endpoint make_endpoint(const std::string& host, std::uint16_t port);
+
+} // namespace ospreystair::http
+
+#endif
--- /dev/null
+++ b/source/http/server.cpp
@@ -0,0 +1,332 @@
+// Accept loop and per-connection loop of the HTTP server.
+
+#include "http/server.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::http
+{
+
+void exchange_context::on_peer_gone(std::function<void()> action)
+{
+    std::unique_lock lock(m_mutex);
+    if (!m_is_peer_gone.load())
+    {
+        m_action = std::move(action);
+        return;
+    }
+    lock.unlock();
+    if (action)
+        action();
+}
+
+void exchange_context::report_peer_gone()
+{
+    std::function<void()> action;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_is_peer_gone.store(true);
+        action = std::exchange(m_action, nullptr);
+    }
+    if (action)
+        action();
+}
+
+/// One accepted connection. All members are used on the connection's strand.
+class server_connection : public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(std::shared_ptr<server> owner, tcp::socket socket)
+        : m_owner(std::move(owner)), m_stream(std::move(socket))
+    {
+    }
+
+    awaitable<void> serve()
+    {
+        boost::system::error_code code;
+        m_stream.socket().set_option(tcp::no_delay(true), code);
+        m_peer = m_stream.socket().remote_endpoint(code);
+        while (!m_owner->m_is_stopping.load())
+            if (!co_await serve_one())
+                break;
+        close();
+    }
+
+    /// Closes the connection if it waits for a request.
+    void close_if_idle()
+    {
+        asio::post(m_stream.get_executor(),
+                   [self = shared_from_this()]
+                   {
+                       if (!self->m_is_answering)
+                           self->close();
+                   });
+    }
+
+    void abort()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] { self->close(); });
+    }
+
+private:
+    // Returns whether the connection can carry another request.
+    awaitable<bool> serve_one()
+    {
+        boost::system::error_code code;
+        beast::http::request_parser<beast::http::string_body> parser;
+        parser.header_limit(m_owner->m_options.max_header_bytes);
+        parser.body_limit(m_owner->m_options.max_body_bytes);
+        m_stream.expires_after(m_owner->m_options.receive_timeout);
+        co_await beast::http::async_read_header(m_stream, m_buffer, parser,
+                                                asio::redirect_error(asio::use_awaitable, code));
+        if (!code)
+        {
+            // From here on a graceful stop waits for this request.
+            m_is_answering = true;
+            m_owner->m_request_count.fetch_add(1);
+            co_await beast::http::async_read(m_stream, m_buffer, parser,
+                                             asio::redirect_error(asio::use_awaitable, code));
+        }
+        bool can_continue = false;
+        if (!code)
+            can_continue = co_await answer(parser.get());
+        else
+            co_await refuse_malformed(code);
+        if (m_is_answering)
+        {
+            m_is_answering = false;
+            m_owner->m_request_count.fetch_sub(1);
+        }
+        co_return can_continue;
+    }
+
+    awaitable<bool> answer(const request& message)
+    {
+        auto context = std::make_shared<exchange_context>();
+        context->m_peer = m_peer;
+        m_stream.expires_never();
+        watch_peer(context);
+        response reply = co_await call_handler(message, context);
+        context->on_peer_gone(nullptr);
+        boost::system::error_code code;
+        m_stream.socket().cancel(code);
+        reply.version(message.version());
+        reply.keep_alive(message.keep_alive() && !m_owner->m_is_stopping.load());
+        reply.prepare_payload();
+        co_return co_await send(reply) && reply.keep_alive();
+    }
+
+    awaitable<response> call_handler(const request& message,
+                                     std::shared_ptr<exchange_context> context)
+    {
+        std::string what;
+        try
+        {
+            co_return co_await m_owner->m_handler(message, std::move(context));
+        }
+        catch (const std::exception& exception)
+        {
+            what = exception.what();
+        }
+        co_return make_text_response(status::internal_server_error,
+                                     fmt::format("internal error: {}; report it\n", what));
+    }
+
+    // Reports that the caller closed its side while the handler works. A connection with further
+    // pipelined bytes is not watched: their presence hides the end of the stream.
+    void watch_peer(const std::shared_ptr<exchange_context>& context)
+    {
+        m_stream.socket().async_wait(
+            tcp::socket::wait_read,
+            [self = shared_from_this(), context](const boost::system::error_code& code)
+            {
+                if (code || !self->m_is_answering)
+                    return;
+                char byte = 0;
+                boost::system::error_code peek_code;
+                self->m_stream.socket().non_blocking(true, peek_code);
+                const std::size_t count = self->m_stream.socket().receive(
+                    asio::buffer(&byte, 1), tcp::socket::message_peek, peek_code);
+                if (count == 0 && peek_code != asio::error::would_block)
+                    context->report_peer_gone();
+            });
+    }
+
+    awaitable<void> refuse_malformed(boost::system::error_code code)
+    {
+        status answer_status = status::bad_request;
+        if (code == beast::http::error::body_limit)
+            answer_status = status::payload_too_large;
+        else if (code == beast::http::error::header_limit)
+            answer_status = status::request_header_fields_too_large;
+        else if (code == beast::http::error::end_of_stream ||
+                 code.category() != make_error_code(beast::http::error::end_of_stream).category())
+            co_return;
+        response reply = make_text_response(
+            answer_status, fmt::format("malformed request: {}; send HTTP/1.1 within the limits\n",
+                                       code.message()));
+        reply.keep_alive(false);
+        reply.prepare_payload();
+        co_await send(reply);
+    }
+
+    awaitable<bool> send(const response& reply)
+    {
+        boost::system::error_code code;
+        m_stream.expires_after(m_owner->m_options.send_timeout);
+        co_await beast::http::async_write(m_stream, reply,
+                                          asio::redirect_error(asio::use_awaitable, code));
+        co_return !code;
+    }
+
+    void close()
+    {
+        boost::system::error_code code;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, code);
+        m_stream.close();
+    }
+
+    const std::shared_ptr<server> m_owner;
+    beast::tcp_stream m_stream;
+    beast::flat_buffer m_buffer;
+    tcp::endpoint m_peer;
+    bool m_is_answering = false;
+};
+
+server::server(asio::io_context& context, server_options options, handler_function handler)
+    : m_context(context), m_options(std::move(options)), m_handler(std::move(handler)),
+      m_acceptor(asio::make_strand(context))
+{
+}
+
+std::optional<std::shared_ptr<server>> server::create(asio::io_context& context,
+                                                      server_options options,
+                                                      handler_function handler, base::error& reason)
+{
+    std::shared_ptr<server> result(new server(context, std::move(options), std::move(handler)));
+    if (!result->listen(reason))
+        return std::nullopt;
+    asio::co_spawn(
+        result->m_acceptor.get_executor(), [result] { return result->accept_connections(); },
+        asio::detached);
+    return result;
+}
+
+bool server::listen(base::error& reason)
+{
+    boost::system::error_code code;
+    m_acceptor.open(m_options.address.protocol(), code);
+    if (!code)
+        m_acceptor.set_option(tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        m_acceptor.bind(m_options.address, code);
+    if (!code)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+    {
+        const auto kind = code == asio::error::address_in_use ? base::error_kind::address_in_use
+                                                              : base::error_kind::invalid_settings;
+        base::fail(reason, kind,
+                   fmt::format("cannot listen on {}:{}: {}; stop the process that uses it or "
+                               "choose another address",
+                               m_options.address.address().to_string(), m_options.address.port(),
+                               code.message()));
+        return false;
+    }
+    m_address = m_acceptor.local_endpoint(code);
+    return true;
+}
+
+awaitable<void> server::accept_connections()
+{
+    const auto self = shared_from_this();
+    constexpr std::chrono::milliseconds pause_after_failure{10};
+    while (!m_is_stopping.load())
+    {
+        boost::system::error_code code;
+        tcp::socket socket = co_await m_acceptor.async_accept(
+            asio::make_strand(m_context), asio::redirect_error(asio::use_awaitable, code));
+        if (m_is_stopping.load())
+            co_return;
+        if (code)
+        {
+            // Out of descriptors, for example: wait instead of spinning.
+            asio::steady_timer timer(m_acceptor.get_executor(), pause_after_failure);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
+        if (m_connection_count.load() >= m_options.max_connections)
+            continue;
+        const auto executor = socket.get_executor();
+        auto connection = std::make_shared<server_connection>(self, std::move(socket));
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_connections.insert(connection);
+        }
+        m_connection_count.fetch_add(1);
+        asio::co_spawn(
+            executor, [connection] { return connection->serve(); },
+            [self, connection](std::exception_ptr)
+            {
+                self->m_connection_count.fetch_sub(1);
+                const std::scoped_lock lock(self->m_mutex);
+                self->m_connections.erase(connection);
+            });
+    }
+}
+
+void server::stop_accepting()
+{
+    if (m_is_stopping.exchange(true))
+        return;
+    asio::post(m_acceptor.get_executor(),
+               [self = shared_from_this()]
+               {
+                   boost::system::error_code code;
+                   self->m_acceptor.close(code);
+               });
+    const std::scoped_lock lock(m_mutex);
+    for (const auto& connection : m_connections)
+        connection->close_if_idle();
+}
+
+void server::abort_connections()
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const auto& connection : m_connections)
+        connection->abort();
+}
+
+awaitable<bool> server::wait_until_idle(std::chrono::steady_clock::time_point deadline)
+{
+    constexpr std::chrono::milliseconds check_interval{5};
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (m_request_count.load() != 0)
+    {
+        if (std::chrono::steady_clock::now() >= deadline)
+            co_return false;
+        timer.expires_after(check_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return true;
+}
+
+response make_json_response(status code, std::string body)
+{
+    response reply(code, 11);
+    reply.set(field::content_type, "application/json");
+    reply.body() = std::move(body);
+    return reply;
+}
+
+response make_text_response(status code, std::string body)
+{
+    response reply(code, 11);
+    reply.set(field::content_type, "text/plain; charset=utf-8");
+    reply.body() = std::move(body);
+    return reply;
+}
+
+} // namespace ospreystair::http
--- /dev/null
+++ b/source/http/server.hpp
@@ -0,0 +1,114 @@
+// An HTTP/1.1 server on Asio coroutines. Each connection runs on its own strand.
+
+#ifndef OSPREYSTAIR_HTTP_SERVER_HPP
+#define OSPREYSTAIR_HTTP_SERVER_HPP
+
+#include <atomic>
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+#include "base/error.hpp"
+#include "http/asio.hpp"
+
+namespace ospreystair::http
+{
+
+/// Limits that protect a server from slow or oversized senders.
+struct server_options
+{
+    tcp::endpoint address;
+    std::size_t max_body_bytes = 1 << 20;
+    std::uint32_t max_header_bytes = 16 << 10;
+    std::size_t max_connections = 4096;
+    /// Time for a whole request to arrive once its connection is open or was last answered.
+    std::chrono::milliseconds receive_timeout{60'000};
+    std::chrono::milliseconds send_timeout{10'000};
+};
+
+/// What a handler may learn about the connection that a request came on.
+class exchange_context
+{
+public:
+    /// Registers what to do when the other side closes the connection before the answer.
+    /// Runs on the connection's strand, at most once.
+    void on_peer_gone(std::function<void()> action);
+    bool is_peer_gone() const { return m_is_peer_gone.load(); }
+    const tcp::endpoint& peer() const { return m_peer; }
+
+private:
+    friend class server_connection;
+
+    void report_peer_gone();
+
+    tcp::endpoint m_peer;
+    std::atomic<bool> m_is_peer_gone{false};
+    std::mutex m_mutex;
+    // Guarded by m_mutex.
+    std::function<void()> m_action;
+};
+
+using handler_function =
+    std::function<awaitable<response>(const request&, std::shared_ptr<exchange_context>)>;
+
+class server_connection;
+
+/// Accepts connections and answers their requests with a handler. Thread-safe.
+class server : public std::enable_shared_from_this<server>
+{
+public:
+    /// Binds and starts accepting. Fails with address_in_use or invalid_settings.
+    static std::optional<std::shared_ptr<server>> create(asio::io_context& context,
+                                                         server_options options,
+                                                         handler_function handler,
+                                                         base::error& reason);
+
+    /// The bound address; its port is the real one when port 0 was asked for.
+    tcp::endpoint address() const { return m_address; }
+
+    /// Stops accepting. Requests in flight are answered with `Connection: close`; connections that
+    /// wait for a next request are closed.
+    void stop_accepting();
+
+    /// Closes every connection at once, requests in flight included.
+    void abort_connections();
+
+    std::size_t request_count() const { return m_request_count.load(); }
+    std::size_t connection_count() const { return m_connection_count.load(); }
+
+    /// Returns when no request is in flight, or false when `deadline` passes first.
+    awaitable<bool> wait_until_idle(std::chrono::steady_clock::time_point deadline);
+
+private:
+    friend class server_connection;
+
+    server(asio::io_context& context, server_options options, handler_function handler);
+    bool listen(base::error& reason);
+    awaitable<void> accept_connections();
+
+    asio::io_context& m_context;
+    const server_options m_options;
+    const handler_function m_handler;
+    tcp::acceptor m_acceptor;
+    tcp::endpoint m_address;
+    std::atomic<bool> m_is_stopping{false};
+    std::atomic<std::size_t> m_request_count{0};
+    std::atomic<std::size_t> m_connection_count{0};
+    std::mutex m_mutex;
+    // Guarded by m_mutex. Every open connection, so that a stop can reach the waiting ones.
+    std::unordered_set<std::shared_ptr<server_connection>> m_connections;
+};
+
+/// Makes an answer with a JSON body.
+response make_json_response(status code, std::string body);
+/// Makes an answer with a plain text body.
+response make_text_response(status code, std::string body);
+
+} // namespace ospreystair::http
+
+#endif
--- /dev/null
+++ b/source/observe/metrics.cpp
@@ -0,0 +1,182 @@
+// Latency histograms on Boost.Histogram, and the text exposition format.
+
+#include "observe/metrics.hpp"
+
+#include <functional>
+#include <thread>
+#include <utility>
+
+#include <boost/histogram.hpp>
+#include <fmt/format.h>
+
+namespace ospreystair::observe
+{
+
+namespace
+{
+
+using log_axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+using histogram_type = decltype(boost::histogram::make_histogram(std::declval<log_axis>()));
+
+constexpr unsigned bucket_count = 120;
+constexpr double lowest_seconds = 0.00005;
+constexpr double highest_seconds = 100;
+
+histogram_type make_latency_histogram()
+{
+    return boost::histogram::make_histogram(
+        log_axis(bucket_count, lowest_seconds, highest_seconds));
+}
+
+std::string_view base_name(std::string_view name)
+{
+    return name.substr(0, name.find('{'));
+}
+
+template<class Map>
+void append_values(std::string& text, const Map& values, std::string_view type)
+{
+    std::string_view previous;
+    for (const auto& [name, value] : values)
+    {
+        if (base_name(name) != previous)
+            text += fmt::format("# TYPE {} {}\n", base_name(name), type);
+        previous = base_name(name);
+        text += fmt::format("{} {}\n", name, value->value());
+    }
+}
+
+} // namespace
+
+struct latency_histogram::part
+{
+    std::mutex mutex;
+    // Guarded by mutex.
+    histogram_type counts = make_latency_histogram();
+    double sum_seconds = 0;
+};
+
+latency_histogram::latency_histogram()
+{
+    for (auto& item : m_parts)
+        item = std::make_unique<part>();
+}
+
+latency_histogram::~latency_histogram() = default;
+
+void latency_histogram::record(std::chrono::nanoseconds value)
+{
+    const double seconds = std::chrono::duration<double>(value).count();
+    const std::size_t index = std::hash<std::thread::id>{}(std::this_thread::get_id()) % part_count;
+    part& own = *m_parts[index];
+    const std::scoped_lock lock(own.mutex);
+    own.counts(seconds);
+    own.sum_seconds += seconds;
+}
+
+std::uint64_t latency_histogram::count() const
+{
+    double total = 0;
+    for (const auto& item : m_parts)
+    {
+        const std::scoped_lock lock(item->mutex);
+        total += boost::histogram::algorithm::sum(item->counts);
+    }
+    return static_cast<std::uint64_t>(total);
+}
+
+std::chrono::nanoseconds latency_histogram::quantile(double fraction) const
+{
+    histogram_type all = make_latency_histogram();
+    for (const auto& item : m_parts)
+    {
+        const std::scoped_lock lock(item->mutex);
+        all += item->counts;
+    }
+    const double total = boost::histogram::algorithm::sum(all);
+    if (total == 0)
+        return std::chrono::nanoseconds{0};
+    double seen = 0;
+    double bound = lowest_seconds;
+    for (auto&& cell : boost::histogram::indexed(all, boost::histogram::coverage::all))
+    {
+        seen += *cell;
+        if (cell.bin().upper() <= highest_seconds)
+            bound = cell.bin().upper();
+        if (seen >= fraction * total)
+            break;
+    }
+    return std::chrono::duration_cast<std::chrono::nanoseconds>(
+        std::chrono::duration<double>(bound));
+}
+
+void latency_histogram::append_text(std::string& text, const std::string& name) const
+{
+    histogram_type all = make_latency_histogram();
+    double sum = 0;
+    for (const auto& item : m_parts)
+    {
+        const std::scoped_lock lock(item->mutex);
+        all += item->counts;
+        sum += item->sum_seconds;
+    }
+    text += fmt::format("# TYPE {} histogram\n", name);
+    double seen = all.at(-1);
+    for (unsigned index = 0; index < bucket_count; ++index)
+    {
+        const double here = all.at(static_cast<int>(index));
+        seen += here;
+        if (here != 0)
+            text += fmt::format("{}_bucket{{le=\"{:.6g}\"}} {}\n", name,
+                                all.axis().bin(static_cast<int>(index)).upper(), seen);
+    }
+    seen += all.at(bucket_count);
+    text += fmt::format("{0}_bucket{{le=\"+Inf\"}} {1}\n{0}_sum {2:.6f}\n{0}_count {1}\n", name,
+                        seen, sum);
+}
+
+metrics::metrics() = default;
+metrics::~metrics() = default;
+
+namespace
+{
+
+template<class Map>
+auto& find_or_make(std::mutex& mutex, Map& map, const std::string& name)
+{
+    const std::scoped_lock lock(mutex);
+    auto& slot = map[name];
+    if (!slot)
+        slot = std::make_unique<typename Map::mapped_type::element_type>();
+    return *slot;
+}
+
+} // namespace
+
+counter& metrics::find_counter(const std::string& name)
+{
+    return find_or_make(m_mutex, m_counters, name);
+}
+
+gauge& metrics::find_gauge(const std::string& name)
+{
+    return find_or_make(m_mutex, m_gauges, name);
+}
+
+latency_histogram& metrics::find_histogram(const std::string& name)
+{
+    return find_or_make(m_mutex, m_histograms, name);
+}
+
+std::string metrics::to_text() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::string text;
+    append_values(text, m_counters, "counter");
+    append_values(text, m_gauges, "gauge");
+    for (const auto& [name, histogram] : m_histograms)
+        histogram->append_text(text, name);
+    return text;
+}
+
+} // namespace ospreystair::observe
