Entry: Scatter a query to all shards and gather the answers

Cause: the thin path needs the process that callers talk to. Ruled out: one coroutine per query that waits for shards in turn, since the slowest shard would delay the retries of the others.

--- /dev/null
+++ b/programs/entry/operator_service.cpp
@@ -0,0 +1,100 @@
+// Routes the operator port's requests.
+
+#include "programs/entry/operator_service.hpp"
+
+#include <charconv>
+
+#include <fmt/format.h>
+
+#include "rpc/rpc_server.hpp"
+
+namespace ospreystair::entry
+{
+
+namespace
+{
+
+constexpr std::string_view requests_prefix = "/requests/";
+constexpr std::size_t listed_requests = 1000;
+
+std::uint64_t read_after(std::string_view query)
+{
+    constexpr std::string_view name = "after=";
+    std::uint64_t value = 0;
+    const std::size_t position = query.find(name);
+    if (position != std::string_view::npos)
+        std::from_chars(query.data() + position + name.size(), query.data() + query.size(), value);
+    return value;
+}
+
+} // namespace
+
+http::response operator_service::answer(const http::request& message)
+{
+    const std::string_view target(message.target().data(), message.target().size());
+    const std::string_view path = target.substr(0, target.find('?'));
+    const std::string_view query = target.substr(path.size());
+    if (message.method() == http::verb::put && path == "/log-level")
+        return change_log_level(message.body());
+    if (message.method() != http::verb::get)
+        return http::make_text_response(http::status::method_not_allowed, "use GET\n");
+    if (path == "/live")
+        return http::make_text_response(http::status::ok, "live\n");
+    if (path == "/ready")
+        return answer_ready();
+    if (path == "/metrics")
+        return http::make_text_response(http::status::ok, m_context.metrics.to_text());
+    if (path == "/events")
+        return http::make_json_response(http::status::ok, m_context.log.to_json(read_after(query)));
+    if (path == "/requests")
+        return answer_requests();
+    if (path.starts_with(requests_prefix))
+        return answer_request(path.substr(requests_prefix.size()));
+    return http::make_text_response(http::status::not_found,
+                                    "use /live, /ready, /metrics, /events or /requests\n");
+}
+
+http::response operator_service::answer_ready() const
+{
+    if (!m_context.is_serving.load())
+        return http::make_text_response(http::status::service_unavailable, "stopping\n");
+    if (!m_context.views.current())
+        return http::make_text_response(http::status::service_unavailable,
+                                        "no configuration yet; start ospreystair-agent\n");
+    return http::make_text_response(http::status::ok, "ready\n");
+}
+
+http::response operator_service::answer_request(std::string_view request_id) const
+{
+    const auto record = m_context.records.find(std::string(request_id));
+    if (!record)
+        return http::make_json_response(
+            http::status::not_found,
+            fmt::format(
+                R"({{"error":{{"kind":"not_found","message":"no record of this request remains here; ask the VM that its id names, or the durable records"}}}})"));
+    return http::make_json_response(http::status::ok, rpc::to_text(query::to_json(*record)));
+}
+
+http::response operator_service::answer_requests() const
+{
+    Json::Value document;
+    document["requests"] = Json::arrayValue;
+    for (const auto& record : m_context.records.recent(listed_requests))
+        document["requests"].append(query::to_json(*record));
+    return http::make_json_response(http::status::ok, rpc::to_text(document));
+}
+
+http::response operator_service::change_log_level(const std::string& text)
+{
+    for (const auto level : {observe::log_level::debug, observe::log_level::info,
+                             observe::log_level::warning, observe::log_level::error})
+        if (text == observe::to_string(level))
+        {
+            m_context.log.set_threshold(level);
+            return http::make_text_response(http::status::ok, "log level changed\n");
+        }
+    return http::make_text_response(http::status::bad_request,
+                                    "send debug, info, warning or error as the body\n");
+}
+
+} // namespace ospreystair::entry
--- /dev/null
+++ b/programs/entry/operator_service.hpp
@@ -0,0 +1,31 @@
+// The entry's endpoints for operators: liveness, readiness, metrics, events and request records.
+
+#ifndef OSPREYSTAIR_PROGRAMS_ENTRY_OPERATOR_SERVICE_HPP
+#define OSPREYSTAIR_PROGRAMS_ENTRY_OPERATOR_SERVICE_HPP
+
+#include "http/server.hpp"
+#include "programs/entry/entry_context.hpp"
+
+namespace ospreystair::entry
+{
+
+/// Thread-safe.
+class operator_service
+{
+public:
+    explicit operator_service(entry_context& context) : m_context(context) {}
+
+    http::response answer(const http::request& message);
+
+private:
+    http::response answer_ready() const;
+    http::response answer_request(std::string_view request_id) const;
+    http::response answer_requests() const;
+    http::response change_log_level(const std::string& text);
+
+    entry_context& m_context;
+};
+
+} // namespace ospreystair::entry
+
+#endif
--- /dev/null
+++ b/programs/entry/query_service.cpp
@@ -0,0 +1,156 @@
+// Pins, runs and, when the pinned version is gone, runs a query again.
+
+#include "programs/entry/query_service.hpp"
+
+#include <utility>
+
+#include "programs/entry/replies.hpp"
+
+namespace ospreystair::entry
+{
+
+namespace asio = http::asio;
+
+query_service::query_service(entry_context& context)
+    : m_context(context), m_latency(context.metrics.find_histogram("ospreystair_query_seconds")),
+      m_answered_count(context.metrics.find_counter("ospreystair_queries_answered_total")),
+      m_partial_count(context.metrics.find_counter("ospreystair_queries_partial_total")),
+      m_refused_count(context.metrics.find_counter("ospreystair_queries_refused_total")),
+      m_cancelled_count(context.metrics.find_counter("ospreystair_queries_cancelled_total")),
+      m_restart_count(context.metrics.find_counter("ospreystair_queries_restarted_total"))
+{
+}
+
+http::awaitable<http::response>
+query_service::answer(std::string service_name, const http::request& message,
+                      std::shared_ptr<http::exchange_context> exchange)
+{
+    const base::time_point start = m_context.clock.now();
+    query::request_record record;
+    record.request_id = m_context.identifiers.next();
+    record.service = service_name;
+    record.kind = "query";
+    record.stamp = m_context.log.clock().tick().to_text();
+    base::error reason;
+    const auto view = m_context.views.current();
+    if (!view)
+    {
+        reason = {base::error_kind::unreachable,
+                  "this VM has no configuration yet; come back or ask another VM",
+                  {}};
+        co_return refuse(std::move(record), reason);
+    }
+    auto snapshot = query::pinned_snapshot::create(view, service_name, reason);
+    if (!snapshot)
+        co_return refuse(std::move(record), reason);
+    if (snapshot->service().kind != configuration::service_kind::query)
+    {
+        reason = {base::error_kind::invalid_argument,
+                  "the service takes commands; send the request to its /command path",
+                  {}};
+        co_return refuse(std::move(record), reason);
+    }
+    const auto deadline = read_deadline(message, snapshot->service().deadline, reason);
+    if (!deadline)
+        co_return refuse(std::move(record), reason);
+    record.deadline = *deadline;
+
+    run_type::task task{record.request_id, std::move(*snapshot),
+                        std::make_shared<const std::string>(message.body()), start,
+                        start + *deadline};
+    auto run = co_await run_once(task, exchange);
+    if (run->answers().is_missing_for(query::sub_result::version_not_held) && !run->is_cancelled())
+    {
+        // Half of the time must be left for a second scatter to be worth its load.
+        const base::time_point give_up = start + *deadline / 2;
+        if (auto newer = co_await find_newer_snapshot(run->snapshot(), give_up))
+        {
+            ++record.restart_count;
+            m_restart_count.add();
+            task.snapshot = std::move(*newer);
+            run = co_await run_once(task, exchange);
+        }
+    }
+    http::response reply = make_query_answer(record.request_id, run->snapshot(), run->answers());
+    record.status = static_cast<int>(reply.result_int());
+    keep_record(std::move(record), *run, start);
+    co_return reply;
+}
+
+http::awaitable<std::shared_ptr<query_service::run_type>>
+query_service::run_once(run_type::task task, std::shared_ptr<http::exchange_context> exchange)
+{
+    auto run =
+        run_type::create(m_context.upstreams, m_context.policy, m_context.clock, std::move(task));
+    exchange->on_peer_gone([run] { run->cancel(); });
+    co_await run->run();
+    exchange->on_peer_gone(nullptr);
+    co_return run;
+}
+
+// The agent may learn of a new version a moment after the replicas dropped the old one.
+http::awaitable<std::optional<query::pinned_snapshot>>
+query_service::find_newer_snapshot(const query::pinned_snapshot& old, base::time_point give_up)
+{
+    constexpr std::chrono::milliseconds check_interval{10};
+    const std::string service_name = old.service().name;
+    const std::uint64_t old_version = old.index_version();
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (m_context.clock.now() < give_up)
+    {
+        base::error ignored;
+        auto snapshot =
+            query::pinned_snapshot::create(m_context.views.current(), service_name, ignored);
+        if (snapshot && snapshot->index_version() > old_version)
+            co_return snapshot;
+        timer.expires_after(check_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_return std::nullopt;
+}
+
+http::response query_service::refuse(query::request_record record, const base::error& reason)
+{
+    m_refused_count.add();
+    http::response reply = make_refusal(record.request_id, reason);
+    record.outcome = "not_run";
+    record.status = static_cast<int>(reply.result_int());
+    record.refusal_kind = base::to_string(reason.kind);
+    record.refusal_message = reason.message;
+    m_context.log.write(
+        observe::log_level::debug, "query_refused", record.request_id,
+        {{"service", record.service}, {"kind", record.refusal_kind}, {"reason", reason.message}});
+    m_context.records.add(std::move(record));
+    return reply;
+}
+
+void query_service::keep_record(query::request_record record, const run_type& run,
+                                base::time_point start)
+{
+    const query::gathered_answers& answers = run.answers();
+    const base::duration elapsed = m_context.clock.now() - start;
+    m_latency.record(elapsed);
+    m_answered_count.add();
+    if (run.is_cancelled())
+        m_cancelled_count.add();
+    else if (!answers.is_complete())
+        m_partial_count.add();
+    record.outcome = run.is_cancelled() ? "cancelled" : "ran";
+    record.index_version = run.snapshot().index_version();
+    record.configuration_version = run.snapshot().configuration_version();
+    record.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(elapsed);
+    record.shard_count = answers.shard_count();
+    record.answered_count = answers.answered_count();
+    for (const auto& entry : answers.entries())
+        if (!entry.is_answered)
+            record.missing.push_back(entry.shard);
+    record.attempts = run.attempts();
+    m_context.log.write(observe::log_level::debug, "query_answered", record.request_id,
+                        {{"service", record.service},
+                         {"index_version", record.index_version},
+                         {"answered", record.answered_count},
+                         {"shards", record.shard_count}});
+    m_context.records.add(std::move(record));
+}
+
+} // namespace ospreystair::entry
--- /dev/null
+++ b/programs/entry/view_holder.cpp
@@ -0,0 +1,65 @@
+// Keeps versions from moving down, and adds the drains seen by this process.
+
+#include "programs/entry/view_holder.hpp"
+
+#include <utility>
+
+namespace ospreystair::entry
+{
+
+std::shared_ptr<const configuration::view> view_holder::current() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_view;
+}
+
+std::shared_ptr<const configuration::view> view_holder::adopt(configuration::view candidate,
+                                                              base::time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_view)
+    {
+        if (m_view->configuration_version > candidate.configuration_version)
+        {
+            candidate.configuration = m_view->configuration;
+            candidate.configuration_version = m_view->configuration_version;
+        }
+        for (const auto& [service_name, state] : m_view->indexes)
+        {
+            const auto [position, is_new] = candidate.indexes.emplace(service_name, state);
+            if (!is_new && position->second.current < state.current)
+                position->second = state;
+        }
+    }
+    std::erase_if(m_own_drains, [now](const auto& item) { return item.second <= now; });
+    for (const auto& [name, end] : m_own_drains)
+        candidate.draining.insert(name);
+    m_view = std::make_shared<const configuration::view>(std::move(candidate));
+    return m_view;
+}
+
+void view_holder::mark_draining(const std::string& replica_name, base::time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_own_drains[replica_name] = now + drain_memory;
+    if (!m_view || m_view->draining.contains(replica_name))
+        return;
+    configuration::view changed = *m_view;
+    changed.draining.insert(replica_name);
+    m_view = std::make_shared<const configuration::view>(std::move(changed));
+    m_new_drains.push_back(replica_name);
+}
+
+std::vector<std::string> view_holder::take_new_drains()
+{
+    const std::scoped_lock lock(m_mutex);
+    return std::exchange(m_new_drains, {});
+}
+
+void view_holder::retry_drain_report(const std::string& replica_name)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_new_drains.push_back(replica_name);
+}
+
+} // namespace ospreystair::entry
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -48,9 +48,11 @@
         boost::system::error_code code;
         m_stream.socket().set_option(tcp::no_delay(true), code);
         m_peer = m_stream.socket().remote_endpoint(code);
-        while (!m_owner->m_is_stopping.load())
-            if (!co_await serve_one())
-                break;
+        // Runs on while the server stops: a request that has arrived is answered, and its answer
+        // closes the connection.
+        while (co_await serve_one())
+        {
+        }
         close();
     }
 
@@ -113,7 +115,7 @@
         boost::system::error_code code;
         m_stream.socket().cancel(code);
         reply.version(message.version());
-        reply.keep_alive(message.keep_alive() && !m_owner->m_is_stopping.load());
+        reply.keep_alive(message.keep_alive() && !m_owner->m_is_announced.load());
         reply.prepare_payload();
         co_return co_await send(reply) && reply.keep_alive();
     }
@@ -279,6 +281,7 @@
 
 void server::stop_accepting()
 {
+    m_is_announced.store(true);
     if (m_is_stopping.exchange(true))
         return;
     asio::post(m_acceptor.get_executor(),
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -71,6 +71,10 @@
     /// The bound address; its port is the real one when port 0 was asked for.
     tcp::endpoint address() const { return m_address; }
 
+    /// Goes on accepting, but answers with `Connection: close`, so that callers that keep their
+    /// connections move to another VM before stop_accepting().
+    void announce_stop() { m_is_announced.store(true); }
+
     /// Stops accepting. Requests in flight are answered with `Connection: close`; connections that
     /// wait for a next request are closed.
     void stop_accepting();
@@ -96,6 +100,7 @@
     const handler_function m_handler;
     tcp::acceptor m_acceptor;
     tcp::endpoint m_address;
+    std::atomic<bool> m_is_announced{false};
     std::atomic<bool> m_is_stopping{false};
     std::atomic<std::size_t> m_request_count{0};
     std::atomic<std::size_t> m_connection_count{0};
--- /dev/null
+++ b/source/query/sub_request.hpp
@@ -0,0 +1,79 @@
+// One request to one replica, its reply, and the means to give it up.
+
+#ifndef OSPREYSTAIR_QUERY_SUB_REQUEST_HPP
+#define OSPREYSTAIR_QUERY_SUB_REQUEST_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "base/error.hpp"
+
+namespace ospreystair::query
+{
+
+/// What became of a sub-request.
+enum class sub_result
+{
+    answered,
+    timeout,
+    unreachable,
+    overloaded,       ///< The replica shed it; it was not run.
+    version_not_held, ///< The replica no longer holds the pinned version.
+    wrong_version,    ///< The reply came from another version than asked for.
+    wrong_shard,      ///< The replica does not serve the shard.
+    mismatched,       ///< The reply does not repeat the request's ids.
+    failed,           ///< The replica answered with an error.
+    no_replica,       ///< No usable replica.
+    cancelled         ///< Given up here: another attempt won, or the caller left.
+};
+
+std::string_view to_string(sub_result result);
+
+/// An idempotent request to one shard at one index version.
+struct sub_request
+{
+    std::string request_id;
+    std::uint32_t number = 0;
+    std::string shard;
+    std::uint64_t index_version = 0;
+    std::shared_ptr<const std::string> body;
+};
+
+/// The end of one attempt.
+struct sub_reply
+{
+    sub_result result = sub_result::cancelled;
+    /// The JSON text of the answer.
+    std::string body;
+    /// The replica said that it is leaving.
+    bool is_draining = false;
+    base::error reason;
+};
+
+/// Lets the owner of an attempt give it up. Used on one strand.
+class cancellation
+{
+public:
+    void cancel()
+    {
+        m_is_cancelled = true;
+        if (auto action = std::exchange(m_action, nullptr))
+            action();
+    }
+    bool is_cancelled() const { return m_is_cancelled; }
+    /// Sets what cancel() does, in place of what was set before.
+    void on_cancel(std::function<void()> action) { m_action = std::move(action); }
+
+private:
+    bool m_is_cancelled = false;
+    std::function<void()> m_action;
+};
+
+} // namespace ospreystair::query
+
+#endif
--- /dev/null
+++ b/source/query/upstream_client.cpp
@@ -0,0 +1,240 @@
+// HTTP form of sub-requests and replies.
+
+#include "query/upstream_client.hpp"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include <fmt/format.h>
+#include <json/json.h>
+
+#include "rpc/rpc_server.hpp"
+
+namespace ospreystair::query
+{
+
+namespace asio = http::asio;
+
+namespace
+{
+
+std::shared_ptr<const http::request> make_search_request(const configuration::replica& target,
+                                                         const sub_request& message,
+                                                         base::time_point deadline)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(
+        deadline - std::chrono::steady_clock::now());
+    auto result = std::make_shared<http::request>(http::verb::post, "/v1/search", 11);
+    result->set(http::field::host, target.address.to_text());
+    result->set("X-Request-Id", message.request_id);
+    result->set("X-Sub-Request", std::to_string(message.number));
+    result->set("X-Shard", message.shard);
+    result->set("X-Index-Version", std::to_string(message.index_version));
+    result->set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    result->body() = *message.body;
+    result->prepare_payload();
+    return result;
+}
+
+sub_result to_result(base::error_kind kind)
+{
+    switch (kind)
+    {
+    case base::error_kind::timeout:
+        return sub_result::timeout;
+    case base::error_kind::cancelled:
+        return sub_result::cancelled;
+    case base::error_kind::overloaded:
+        return sub_result::overloaded;
+    case base::error_kind::protocol:
+        return sub_result::failed;
+    default:
+        return sub_result::unreachable;
+    }
+}
+
+sub_reply make_failure(sub_result result, base::error_kind kind, std::string message)
+{
+    return {result, {}, false, {kind, std::move(message), {}}};
+}
+
+std::string_view header(const http::response& reply, std::string_view name)
+{
+    const auto value = reply[boost::beast::string_view(name.data(), name.size())];
+    return {value.data(), value.size()};
+}
+
+// An upstream reports some failures as a successful reply with an "error" member. A text search
+// avoids parsing the many replies that cannot have one.
+bool has_error_member(const std::string& body)
+{
+    if (body.find("\"error\"") == std::string::npos)
+        return false;
+    base::error ignored;
+    const auto document = rpc::parse_json(body, ignored);
+    return document && document->isObject() && document->isMember("error");
+}
+
+} // namespace
+
+upstream_client::upstream_client(asio::io_context& context, observe::metrics& metrics)
+    : m_context(context),
+      m_wrong_version_count(metrics.find_counter("ospreystair_replies_wrong_version_total")),
+      m_mismatched_count(metrics.find_counter("ospreystair_replies_mismatched_total"))
+{
+}
+
+void upstream_client::apply(const configuration::view& view, const share_function& share)
+{
+    std::set<std::string> named;
+    for (const auto& [service_name, service] : view.configuration.services)
+        for (const configuration::shard& part : service.shards)
+            for (const configuration::replica& item : part.replicas)
+            {
+                named.insert(item.name);
+                const std::size_t limit = share(item);
+                const auto make = [&]
+                {
+                    return pool_entry{item.address,
+                                      connection_pool::create(
+                                          m_context,
+                                          http::make_endpoint(item.address.host, item.address.port),
+                                          limit)};
+                };
+                const bool is_draining = view.draining.contains(item.name);
+                m_pools.update(item.name, make,
+                               [&](pool_entry& entry)
+                               {
+                                   if (entry.address != item.address)
+                                   {
+                                       entry.pool->close();
+                                       entry = make();
+                                   }
+                                   entry.pool->set_limit(limit);
+                                   if (!is_draining)
+                                       entry.pool->warm_up(
+                                           std::min<std::size_t>(limit, item.slots));
+                               });
+            }
+    for (const auto& [name, entry] : m_pools.copy_all())
+        if (!named.contains(name))
+        {
+            entry.pool->close();
+            m_pools.erase(name);
+        }
+}
+
+std::shared_ptr<connection_pool> upstream_client::find_pool(const std::string& replica_name) const
+{
+    const auto entry = m_pools.find(replica_name);
+    return entry ? entry->pool : nullptr;
+}
+
+http::awaitable<sub_reply> upstream_client::send(const configuration::replica& target,
+                                                 const sub_request& message,
+                                                 base::time_point deadline,
+                                                 std::shared_ptr<cancellation> cancel)
+{
+    const std::shared_ptr<connection_pool> pool = find_pool(target.name);
+    if (!pool)
+        co_return make_failure(
+            sub_result::unreachable, base::error_kind::not_found,
+            fmt::format("replica \"{}\" is not in the configuration any more; try again",
+                        target.name));
+    base::error reason;
+    auto connection = co_await pool->acquire(deadline, cancel, reason);
+    if (!connection)
+        co_return sub_reply{to_result(reason.kind), {}, false, reason};
+    if (cancel->is_cancelled())
+    {
+        pool->release(std::move(*connection));
+        co_return sub_reply{};
+    }
+    // Closing is the cancellation that upstreams accept, and it keeps a late reply from reaching
+    // the next request on this connection.
+    cancel->on_cancel([active = *connection] { active->close(); });
+    http::exchange_progress progress{};
+    const auto reply =
+        co_await (*connection)
+            ->exchange(make_search_request(target, message, deadline), deadline, progress, reason);
+    cancel->on_cancel(nullptr);
+    if (!reply)
+    {
+        pool->release(std::move(*connection));
+        co_return sub_reply{cancel->is_cancelled() ? sub_result::cancelled : to_result(reason.kind),
+                            {},
+                            false,
+                            reason};
+    }
+    sub_reply result = check_reply(message, *reply);
+    // After a reply that belongs to another request nothing on this connection can be trusted.
+    if (result.result == sub_result::mismatched)
+        (*connection)->close();
+    pool->release(std::move(*connection));
+    co_return result;
+}
+
+sub_reply upstream_client::check_reply(const sub_request& message, const http::response& reply)
+{
+    sub_reply result;
+    switch (reply.result())
+    {
+    case http::status::ok:
+        result = check_ids(message, reply);
+        break;
+    case http::status::conflict:
+        result =
+            make_failure(sub_result::version_not_held, base::error_kind::version_not_held,
+                         fmt::format("the replica holds versions {} and not {}; query again",
+                                     header(reply, "X-Index-Versions"), message.index_version));
+        break;
+    case http::status::misdirected_request:
+        result = make_failure(sub_result::wrong_shard, base::error_kind::not_found,
+                              fmt::format("the replica does not serve shard \"{}\"; correct the "
+                                          "configuration",
+                                          message.shard));
+        break;
+    case http::status::service_unavailable:
+    case http::status::too_many_requests:
+        result = make_failure(sub_result::overloaded, base::error_kind::overloaded,
+                              "the replica shed the request; use another replica or come back");
+        break;
+    case http::status::gateway_timeout:
+        result = make_failure(sub_result::timeout, base::error_kind::timeout,
+                              "the replica dropped the request at its deadline; allow more time");
+        break;
+    default:
+        result = make_failure(
+            sub_result::failed, base::error_kind::protocol,
+            fmt::format("the replica answered with status {}; see its log", reply.result_int()));
+    }
+    result.is_draining = header(reply, "X-Draining") == "true";
+    return result;
+}
+
+sub_reply upstream_client::check_ids(const sub_request& message, const http::response& reply)
+{
+    if (header(reply, "X-Request-Id") != message.request_id ||
+        header(reply, "X-Sub-Request") != std::to_string(message.number) ||
+        header(reply, "X-Shard") != message.shard)
+    {
+        m_mismatched_count.add();
+        return make_failure(sub_result::mismatched, base::error_kind::protocol,
+                            "the reply repeats the ids of another request; it was dropped");
+    }
+    if (header(reply, "X-Index-Version") != std::to_string(message.index_version))
+    {
+        m_wrong_version_count.add();
+        return make_failure(sub_result::wrong_version, base::error_kind::version_not_held,
+                            fmt::format("the reply is from index version {} instead of {}; it was "
+                                        "dropped",
+                                        header(reply, "X-Index-Version"), message.index_version));
+    }
+    if (has_error_member(reply.body()))
+        return make_failure(sub_result::failed, base::error_kind::protocol,
+                            "the replica's answer holds an error; see its log");
+    return {sub_result::answered, reply.body(), false, {}};
+}
+
+} // namespace ospreystair::query
--- /dev/null
+++ b/source/query/upstream_client.hpp
@@ -0,0 +1,58 @@
+// Sends sub-requests to replicas over HTTP/1.1 and checks that each reply belongs to its request.
+
+#ifndef OSPREYSTAIR_QUERY_UPSTREAM_CLIENT_HPP
+#define OSPREYSTAIR_QUERY_UPSTREAM_CLIENT_HPP
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "base/sharded_map.hpp"
+#include "configuration/view.hpp"
+#include "observe/metrics.hpp"
+#include "query/connection_pool.hpp"
+#include "query/sub_request.hpp"
+
+namespace ospreystair::query
+{
+
+/// Owns the connection pools of all replicas. Thread-safe.
+class upstream_client
+{
+public:
+    /// Returns how many connections this VM may open to a replica.
+    using share_function = std::function<std::size_t(const configuration::replica&)>;
+
+    upstream_client(http::asio::io_context& context, observe::metrics& metrics);
+
+    /// Creates pools for new replicas, closes those of removed ones and adjusts limits.
+    void apply(const configuration::view& view, const share_function& share);
+
+    /// Sends one sub-request. Completes with cancelled soon after `cancel` is triggered.
+    /// Call it on the strand of `cancel`.
+    http::awaitable<sub_reply> send(const configuration::replica& target,
+                                    const sub_request& message, base::time_point deadline,
+                                    std::shared_ptr<cancellation> cancel);
+
+    /// Returns the pool of a replica; null when no view has named it.
+    std::shared_ptr<connection_pool> find_pool(const std::string& replica_name) const;
+
+private:
+    struct pool_entry
+    {
+        settings::socket_address address;
+        std::shared_ptr<connection_pool> pool;
+    };
+
+    sub_reply check_reply(const sub_request& message, const http::response& reply);
+    sub_reply check_ids(const sub_request& message, const http::response& reply);
+
+    http::asio::io_context& m_context;
+    base::sharded_map<std::string, pool_entry> m_pools;
+    observe::counter& m_wrong_version_count;
+    observe::counter& m_mismatched_count;
+};
+
+} // namespace ospreystair::query
+
+#endif
