Standins: Add standin-upstream

Ruled out: building it on http::server, because connection limits, connection cost, lost replies and truncated bodies need the connection itself.

Change: one process hosts many replicas. Each replica belongs to one thread, so its state needs no lock. Behaviour, faults and index versions are changed by POST /control; GET /control/counts reports what each replica has seen and done.

--- /dev/null
+++ b/standins/upstream/behaviour.hpp
@@ -0,0 +1,152 @@
+// How a replica behaves: limits, service times, index versions, draining and faults. All of it can
+// be changed while the replica runs, by a JSON document on the control port.
+
+#ifndef OSPREYSTAIR_STANDINS_UPSTREAM_BEHAVIOUR_HPP
+#define OSPREYSTAIR_STANDINS_UPSTREAM_BEHAVIOUR_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+#include "base/clock.hpp"
+#include "base/error.hpp"
+#include "base/random.hpp"
+#include "standins/upstream/replica_settings.hpp"
+
+namespace ospreystair::standin_upstream
+{
+
+enum class fault_kind
+{
+    error_body,    ///< 200 with an `error` member in its body.
+    empty,         ///< 200 with an `error` member and no result, as if nothing was found.
+    wrong_version, ///< Answers with `version` instead of the version asked for.
+    truncate,      ///< Sends half of the body, then closes the connection.
+    freeze,        ///< Reads the request and does nothing until unfrozen.
+    lose_reply,    ///< Does the work, then closes the connection without a reply.
+    late,          ///< Does the work, then waits `delay` before it replies.
+    shed,          ///< 503 with Retry-After and X-Not-Run.
+    internal_error ///< 500 after the work, so that it is open whether it ran.
+};
+
+/// Which requests a fault applies to.
+enum class request_kind
+{
+    search,
+    command
+};
+
+struct fault
+{
+    fault_kind kind = fault_kind::error_body;
+    double probability = 1;
+    /// How many more requests are affected; no limit when empty.
+    std::optional<std::uint64_t> remaining;
+    /// Both kinds of request when empty.
+    std::optional<request_kind> only;
+    std::chrono::microseconds delay{0};
+    std::uint64_t version = 0;
+};
+
+/// The changeable state of one replica. Not thread-safe.
+class behaviour
+{
+public:
+    behaviour(const replica_settings& settings, base::time_point now);
+
+    /// Applies a `set` document as a whole or not at all. Fails with invalid_argument.
+    std::optional<bool> apply(const Json::Value& change, base::time_point now, base::error& reason);
+
+    /// Returns the first fault that hits this request, and uses up one of its count.
+    template<base::random_source Random>
+    std::optional<fault> next_fault(request_kind request, Random& random)
+    {
+        for (fault& item : m_faults)
+        {
+            if ((item.only && *item.only != request) || item.remaining == std::uint64_t{0} ||
+                !happens(item.probability, random))
+                continue;
+            if (item.remaining)
+                --*item.remaining;
+            return item;
+        }
+        return std::nullopt;
+    }
+
+    /// Returns how long the work on the next request takes.
+    template<base::random_source Random>
+    std::chrono::microseconds next_service_time(base::time_point now, Random& random) const
+    {
+        double time = base_ms;
+        if (straggler_probability > 0 && happens(straggler_probability, random))
+            time *= straggler_factor;
+        if (now < m_cold_until)
+            time *= cold_start_factor;
+        return to_microseconds(time);
+    }
+
+    bool is_draining() const { return m_drain_start.has_value(); }
+    std::optional<base::time_point> drain_start() const { return m_drain_start; }
+    /// Whether new requests are refused because the replica leaves.
+    bool refuses_new(base::time_point now) const
+    {
+        return m_drain_start && now >= *m_drain_start + to_microseconds(drain_refuse_after_ms);
+    }
+
+    bool holds_version(std::uint64_t version) const { return versions.contains(version); }
+    bool holds_shard(std::uint64_t version, const std::string& shard) const;
+    bool holds_shard_in_any_version(const std::string& shard) const;
+    /// Returns the held versions as in X-Index-Versions, for example `7,8`.
+    std::string versions_text() const;
+
+    static std::chrono::microseconds to_microseconds(double milliseconds)
+    {
+        return std::chrono::microseconds{static_cast<std::int64_t>(milliseconds * 1000)};
+    }
+
+    std::size_t slots;
+    std::size_t queue;
+    std::size_t connections;
+    double connect_ms;
+    double base_ms;
+    double straggler_probability = 0;
+    double straggler_factor = 10;
+    double cold_start_factor = 1;
+    double drain_refuse_after_ms = 1e9;
+    double shed_probability = 0;
+    std::uint64_t retry_after_s = 1;
+    bool ignores_cancellation = false;
+    bool is_frozen = false;
+    /// What GET /health reports instead of the truth, when set.
+    std::optional<bool> reported_health;
+    /// What GET /load reports instead of the truth, when set.
+    std::optional<Json::Value> reported_load;
+    /// Shards held in each index version.
+    std::map<std::uint64_t, std::set<std::string>> versions;
+
+    template<base::random_source Random>
+    static bool happens(double probability, Random& random)
+    {
+        constexpr std::uint64_t resolution = 1'000'000;
+        return static_cast<double>(random.below(resolution)) < probability * resolution;
+    }
+
+private:
+    bool apply_member(const std::string& name, const Json::Value& value, base::time_point now);
+    bool apply_versions(const std::string& name, const Json::Value& value);
+    bool apply_faults(const Json::Value& value);
+
+    std::vector<fault> m_faults;
+    base::time_point m_cold_until;
+    std::optional<base::time_point> m_drain_start;
+};
+
+} // namespace ospreystair::standin_upstream
+
+#endif
--- /dev/null
+++ b/standins/upstream/replica.cpp
@@ -0,0 +1,524 @@
+// Connection loop of a replica and the course of one request.
+
+#include "standins/upstream/replica.hpp"
+
+#include <array>
+#include <charconv>
+#include <sstream>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include "http/client_connection.hpp"
+#include "http/server.hpp"
+#include "rpc/rpc_server.hpp"
+
+namespace ospreystair::standin_upstream
+{
+
+namespace asio = http::asio;
+using std::chrono::steady_clock;
+
+namespace
+{
+
+// Echoed request bodies are cut to this length, so that answers stay small.
+constexpr std::size_t max_echo_bytes = 256;
+
+std::optional<std::uint64_t> read_number(std::string_view text)
+{
+    std::uint64_t result = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), result);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size())
+        return std::nullopt;
+    return result;
+}
+
+std::string header(const http::request& message, const char* name)
+{
+    const auto value = message[name];
+    return {value.data(), value.size()};
+}
+
+} // namespace
+
+/// One request on one connection.
+struct replica::exchange
+{
+    explicit exchange(http::tcp::socket connection)
+        : socket(std::move(connection)), timer(socket.get_executor())
+    {
+    }
+
+    http::tcp::socket socket;
+    asio::steady_timer timer;
+    http::request message;
+    std::uint64_t id = 0;
+    // The number of the request on this connection; a watch of an earlier request is stale.
+    std::uint64_t round = 0;
+    bool is_started = false;
+    bool is_peer_gone = false;
+    bool is_working = false;
+};
+
+/// What is sent back.
+struct replica::answer
+{
+    enum class form
+    {
+        whole,
+        truncated,
+        none
+    };
+
+    http::response reply;
+    form how = form::whole;
+};
+
+replica::replica(asio::io_context& context, const replica_settings& settings, std::uint64_t seed,
+                 std::size_t record_limit)
+    : m_name(settings.name), m_record_limit(record_limit), m_context(context), m_acceptor(context),
+      m_behaviour(settings, steady_clock::now()), m_slots(settings.slots, settings.queue),
+      m_counts(record_limit), m_random(seed)
+{
+}
+
+std::optional<std::shared_ptr<replica>>
+replica::create(asio::io_context& context, const replica_settings& settings, std::uint64_t seed,
+                std::size_t record_limit, base::error& reason)
+{
+    std::shared_ptr<replica> result(new replica(context, settings, seed, record_limit));
+    if (!result->listen(settings, reason))
+        return std::nullopt;
+    asio::co_spawn(
+        context, [result] { return result->accept_connections(); }, asio::detached);
+    return result;
+}
+
+bool replica::listen(const replica_settings& settings, base::error& reason)
+{
+    const http::tcp::endpoint address =
+        http::make_endpoint(settings.address.host, settings.address.port);
+    boost::system::error_code code;
+    m_acceptor.open(address.protocol(), code);
+    if (!code)
+        m_acceptor.set_option(http::tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        m_acceptor.bind(address, code);
+    if (!code)
+        m_acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+    {
+        const bool is_in_use = code == asio::error::address_in_use;
+        base::fail(reason,
+                   is_in_use ? base::error_kind::address_in_use
+                             : base::error_kind::invalid_settings,
+                   fmt::format("replica {} cannot listen on {}: {}; stop the process that owns the "
+                               "address or choose another in --replicas",
+                               m_name, settings.address.to_text(), code.message()));
+        return false;
+    }
+    return true;
+}
+
+http::awaitable<void> replica::accept_connections()
+{
+    const auto self = shared_from_this();
+    constexpr std::chrono::milliseconds pause_after_failure{10};
+    for (;;)
+    {
+        boost::system::error_code code;
+        http::tcp::socket socket =
+            co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, code));
+        if (code == asio::error::operation_aborted)
+            co_return;
+        if (code)
+        {
+            // Out of descriptors, for example: wait instead of spinning.
+            asio::steady_timer timer(m_context, pause_after_failure);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
+        ++m_counts.connections_opened;
+        if (m_connection_count >= m_behaviour.connections)
+        {
+            ++m_counts.connection_violations;
+            socket.close(code);
+            continue;
+        }
+        ++m_connection_count;
+        m_counts.highest_connections =
+            std::max<std::uint64_t>(m_counts.highest_connections, m_connection_count);
+        asio::co_spawn(
+            m_context,
+            [self, socket = std::move(socket)]() mutable { return self->serve(std::move(socket)); },
+            [self](std::exception_ptr) { --self->m_connection_count; });
+    }
+}
+
+http::awaitable<void> replica::serve(http::tcp::socket socket)
+{
+    const auto self = shared_from_this();
+    boost::system::error_code code;
+    socket.set_option(http::tcp::no_delay(true), code);
+    const auto current = std::make_shared<exchange>(std::move(socket));
+    if (m_behaviour.connect_ms > 0)
+    {
+        current->timer.expires_after(behaviour::to_microseconds(m_behaviour.connect_ms));
+        co_await current->timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+    http::beast::flat_buffer buffer;
+    while (co_await serve_one(current, buffer))
+        ;
+    current->socket.shutdown(http::tcp::socket::shutdown_both, code);
+    current->socket.close(code);
+}
+
+http::awaitable<bool> replica::serve_one(const std::shared_ptr<exchange>& current,
+                                         http::beast::flat_buffer& buffer)
+{
+    boost::system::error_code code;
+    current->message = {};
+    co_await http::beast::http::async_read(current->socket, buffer, current->message,
+                                           asio::redirect_error(asio::use_awaitable, code));
+    if (code)
+        co_return false;
+    current->id = ++m_last_id;
+    ++current->round;
+    current->is_started = false;
+    current->is_working = true;
+    watch_peer(current);
+    answer result = co_await respond(current);
+    current->is_working = false;
+    current->socket.cancel(code);
+    if (current->is_peer_gone && !m_behaviour.ignores_cancellation)
+        co_return false;
+    co_return co_await send(*current, std::move(result));
+}
+
+http::awaitable<replica::answer> replica::respond(std::shared_ptr<exchange> current)
+{
+    const auto target = current->message.target();
+    if (target == "/v1/search")
+        co_return co_await work(current, request_kind::search);
+    if (target == "/v1/command")
+        co_return co_await work(current, request_kind::command);
+    if (target == "/load")
+        co_return answer{http::make_json_response(http::status::ok, load_text())};
+    if (target == "/health")
+    {
+        const bool is_healthy = m_behaviour.reported_health.value_or(!m_behaviour.is_frozen);
+        co_return answer{http::make_json_response(
+            is_healthy ? http::status::ok : http::status::service_unavailable,
+            is_healthy ? R"({"status":"ok"})" : R"({"status":"failing"})")};
+    }
+    co_return answer{http::make_text_response(http::status::not_found, "no such path\n")};
+}
+
+http::awaitable<replica::answer> replica::work(std::shared_ptr<exchange> current, request_kind kind)
+{
+    count_arrival();
+    const http::request& message = current->message;
+    if (auto refusal = check_request(message, kind))
+    {
+        if (refusal->reply.result() == http::status::conflict)
+            ++m_counts.version_not_held;
+        if (refusal->reply.result() == http::status::misdirected_request)
+            ++m_counts.shard_not_here;
+        co_return std::move(*refusal);
+    }
+    const auto hit = m_behaviour.next_fault(kind, m_random);
+    if (hit)
+        ++m_counts.faults;
+    if (m_behaviour.is_frozen || (hit && hit->kind == fault_kind::freeze))
+        co_await wait_until_unfrozen(current);
+    if ((hit && hit->kind == fault_kind::shed) ||
+        behaviour::happens(m_behaviour.shed_probability, m_random))
+    {
+        ++m_counts.refused;
+        co_return answer{make_refusal("the replica sheds load")};
+    }
+    answer result;
+    if (!co_await wait_for_slot(current, result))
+        co_return result;
+
+    const base::time_point now = steady_clock::now();
+    co_await pause(current, now + m_behaviour.next_service_time(now, m_random));
+    release_slot();
+    if (current->is_peer_gone && !m_behaviour.ignores_cancellation)
+    {
+        ++m_counts.cancelled;
+        co_return result;
+    }
+    result.reply = make_answer(message, kind, hit);
+    if (hit && hit->kind == fault_kind::late)
+        co_await pause(current, steady_clock::now() + hit->delay);
+    if (hit && hit->kind == fault_kind::truncate)
+        result.how = answer::form::truncated;
+    if (hit && hit->kind == fault_kind::lose_reply)
+        result.how = answer::form::none;
+    co_return result;
+}
+
+void replica::count_arrival()
+{
+    ++m_counts.requests;
+    if (const auto start = m_behaviour.drain_start())
+    {
+        ++m_counts.requests_while_draining;
+        m_counts.last_request_after_drain_ms =
+            std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - *start)
+                .count();
+    }
+}
+
+std::optional<replica::answer> replica::check_request(const http::request& message,
+                                                      request_kind kind) const
+{
+    const std::string shard = header(message, "X-Shard");
+    if (message.method() != http::verb::post || shard.empty())
+        return answer{http::make_text_response(http::status::bad_request,
+                                               "POST with the header X-Shard is required\n")};
+    if (m_behaviour.refuses_new(steady_clock::now()))
+        return answer{make_refusal("the replica is leaving")};
+    bool holds_shard = m_behaviour.holds_shard_in_any_version(shard);
+    if (kind == request_kind::command && header(message, "Idempotency-Key").empty())
+        return answer{http::make_text_response(http::status::bad_request,
+                                               "the header Idempotency-Key is required\n")};
+    if (kind == request_kind::search)
+    {
+        const auto version = read_number(header(message, "X-Index-Version"));
+        if (!version)
+            return answer{http::make_text_response(http::status::bad_request,
+                                                   "the header X-Index-Version is required\n")};
+        if (!m_behaviour.holds_version(*version))
+        {
+            answer refusal{http::make_json_response(http::status::conflict,
+                                                    R"({"error":{"kind":"version_not_held"}})")};
+            refusal.reply.set("X-Index-Versions", m_behaviour.versions_text());
+            return refusal;
+        }
+        holds_shard = m_behaviour.holds_shard(*version, shard);
+    }
+    if (!holds_shard)
+        return answer{http::make_json_response(http::status::misdirected_request,
+                                               R"({"error":{"kind":"shard_not_here"}})")};
+    return std::nullopt;
+}
+
+http::awaitable<bool> replica::wait_for_slot(std::shared_ptr<exchange> current, answer& refusal)
+{
+    const admission decision = m_slots.offer(current->id);
+    m_counts.highest_in_flight =
+        std::max<std::uint64_t>(m_counts.highest_in_flight, m_slots.running() + m_slots.waiting());
+    if (decision == admission::start)
+        co_return true;
+    if (decision == admission::refuse)
+    {
+        ++m_counts.slot_violations;
+        ++m_counts.refused;
+        refusal.reply = make_refusal("all slots are busy and the queue is full");
+        co_return false;
+    }
+    ++m_counts.queued;
+    m_waiting.emplace(current->id, current);
+    const auto deadline_ms = read_number(header(current->message, "X-Deadline-Ms"));
+    const bool honours_gone = !m_behaviour.ignores_cancellation;
+    const base::time_point until =
+        deadline_ms ? steady_clock::now() + std::chrono::milliseconds{*deadline_ms}
+                    : base::time_point::max();
+    while (!current->is_started && !(honours_gone && current->is_peer_gone) &&
+           steady_clock::now() < until)
+    {
+        boost::system::error_code code;
+        current->timer.expires_at(until);
+        co_await current->timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+    m_waiting.erase(current->id);
+    if (current->is_started)
+        co_return true;
+    m_slots.withdraw(current->id);
+    ++(honours_gone && current->is_peer_gone ? m_counts.cancelled : m_counts.expired);
+    refusal.reply =
+        http::make_json_response(http::status::gateway_timeout, R"({"error":{"kind":"timeout"}})");
+    refusal.reply.set("X-Not-Run", "true");
+    co_return false;
+}
+
+http::awaitable<void> replica::wait_until_unfrozen(std::shared_ptr<exchange> current)
+{
+    m_waiting.emplace(current->id, current);
+    while (!current->is_started && !(current->is_peer_gone && !m_behaviour.ignores_cancellation))
+    {
+        boost::system::error_code code;
+        current->timer.expires_at(base::time_point::max());
+        co_await current->timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+    m_waiting.erase(current->id);
+    current->is_started = false;
+}
+
+http::awaitable<void> replica::pause(std::shared_ptr<exchange> current, base::time_point until)
+{
+    while (steady_clock::now() < until &&
+           !(current->is_peer_gone && !m_behaviour.ignores_cancellation))
+    {
+        boost::system::error_code code;
+        current->timer.expires_at(until);
+        co_await current->timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+    }
+}
+
+http::awaitable<bool> replica::send(exchange& current, answer result)
+{
+    if (result.how == answer::form::none)
+        co_return false;
+    boost::system::error_code code;
+    http::response& reply = result.reply;
+    if (m_behaviour.is_draining())
+        reply.set("X-Draining", "true");
+    reply.version(current.message.version());
+    reply.keep_alive(current.message.keep_alive());
+    reply.prepare_payload();
+    if (result.how == answer::form::truncated)
+    {
+        std::ostringstream text;
+        text << reply;
+        const std::string all = text.str();
+        co_await asio::async_write(current.socket,
+                                   asio::buffer(all.data(), all.size() - reply.body().size() / 2),
+                                   asio::redirect_error(asio::use_awaitable, code));
+        co_return false;
+    }
+    co_await http::beast::http::async_write(current.socket, reply,
+                                            asio::redirect_error(asio::use_awaitable, code));
+    co_return !code && reply.keep_alive();
+}
+
+void replica::watch_peer(const std::shared_ptr<exchange>& current)
+{
+    const std::uint64_t round = current->round;
+    current->socket.async_wait(
+        http::tcp::socket::wait_read,
+        [self = shared_from_this(), current, round](const boost::system::error_code& code)
+        {
+            if (code || !current->is_working || current->round != round)
+                return;
+            char byte = 0;
+            boost::system::error_code peek_code;
+            current->socket.non_blocking(true, peek_code);
+            const std::size_t size = current->socket.receive(
+                asio::buffer(&byte, 1), http::tcp::socket::message_peek, peek_code);
+            if (peek_code == asio::error::would_block)
+                self->watch_peer(current);
+            else if (size == 0)
+            {
+                current->is_peer_gone = true;
+                current->timer.cancel();
+            }
+        });
+}
+
+void replica::wake(std::uint64_t id)
+{
+    const auto position = m_waiting.find(id);
+    if (position == m_waiting.end())
+        return;
+    position->second->is_started = true;
+    position->second->timer.cancel();
+}
+
+void replica::release_slot()
+{
+    if (const auto next = m_slots.release())
+        wake(*next);
+}
+
+std::optional<bool> replica::apply(const Json::Value& change, base::error& reason)
+{
+    const auto result = m_behaviour.apply(change, steady_clock::now(), reason);
+    if (!result)
+        return std::nullopt;
+    m_slots.resize(m_behaviour.slots, m_behaviour.queue);
+    while (const auto next = m_slots.start_next())
+        wake(*next);
+    // "frozen": false also ends the freeze of single requests; those in the slot queue go on
+    // waiting.
+    if (change.isMember("frozen") && !m_behaviour.is_frozen)
+    {
+        std::vector<std::uint64_t> frozen;
+        for (const auto& [id, item] : m_waiting)
+            if (!m_slots.is_waiting(id))
+                frozen.push_back(id);
+        for (const std::uint64_t id : frozen)
+            wake(id);
+    }
+    return true;
+}
+
+http::response replica::make_answer(const http::request& message, request_kind kind,
+                                    const std::optional<fault>& hit)
+{
+    const std::string request_id = header(message, "X-Request-Id");
+    const std::string shard = header(message, "X-Shard");
+    std::uint64_t version = read_number(header(message, "X-Index-Version")).value_or(0);
+    if (hit && hit->kind == fault_kind::wrong_version)
+        version = hit->version;
+    if (kind == request_kind::command)
+        m_counts.add_execution(header(message, "Idempotency-Key"), request_id);
+    else
+        m_counts.add_answer(request_id, version);
+    if (hit && hit->kind == fault_kind::internal_error)
+        return http::make_json_response(http::status::internal_server_error,
+                                        R"({"error":{"kind":"internal"}})");
+
+    std::string body;
+    const std::string identity = fmt::format(
+        R"("shard":{},"replica":{},"request_id":{})", Json::valueToQuotedString(shard.c_str()),
+        Json::valueToQuotedString(m_name.c_str()), Json::valueToQuotedString(request_id.c_str()));
+    const std::string echo =
+        Json::valueToQuotedString(message.body().substr(0, max_echo_bytes).c_str());
+    if (hit && hit->kind == fault_kind::empty)
+        body = R"({"error":{"kind":"internal","message":"the shard failed"}})";
+    else if (hit && hit->kind == fault_kind::error_body)
+        body = fmt::format(R"({{{},"error":{{"kind":"internal","message":"the shard failed"}}}})",
+                           identity);
+    else if (kind == request_kind::command)
+        body = fmt::format(R"({{{},"ran":true,"echo":{}}})", identity, echo);
+    else
+        body = fmt::format(R"({{{},"index_version":{},"echo":{}}})", identity, version, echo);
+
+    http::response reply = http::make_json_response(http::status::ok, std::move(body));
+    reply.set("X-Request-Id", request_id);
+    reply.set("X-Shard", shard);
+    if (kind == request_kind::search)
+    {
+        reply.set("X-Sub-Request", header(message, "X-Sub-Request"));
+        reply.set("X-Index-Version", std::to_string(version));
+    }
+    return reply;
+}
+
+http::response replica::make_refusal(std::string_view message) const
+{
+    http::response reply = http::make_json_response(
+        http::status::service_unavailable,
+        fmt::format(R"({{"error":{{"kind":"overloaded","message":"{}; come back later"}}}})",
+                    message));
+    reply.set(http::field::retry_after, std::to_string(m_behaviour.retry_after_s));
+    reply.set("X-Not-Run", "true");
+    return reply;
+}
+
+std::string replica::load_text() const
+{
+    if (m_behaviour.reported_load)
+        return rpc::to_text(*m_behaviour.reported_load);
+    return fmt::format(R"({{"in_flight":{},"queued":{},"slots":{},"draining":{}}})",
+                       m_slots.running(), m_slots.waiting(), m_behaviour.slots,
+                       m_behaviour.is_draining());
+}
+
+} // namespace ospreystair::standin_upstream
