--- /dev/null
+++ b/programs/agent/agent_settings.hpp
@@ -0,0 +1,37 @@
+// The agent's settings.
+
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_AGENT_SETTINGS_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_AGENT_SETTINGS_HPP
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.hpp"
+#include "base/identifier.hpp"
+#include "observe/event_log.hpp"
+#include "settings/option_table.hpp"
+
+namespace ospreystair::agent
+{
+
+struct agent_settings
+{
+    base::process_identity identity;
+    /// TCP address of the control port and UDP address of the gossip port.
+    settings::socket_address control_address;
+    std::vector<settings::socket_address> platform_addresses;
+    std::vector<settings::socket_address> peer_addresses;
+    /// Operators must present it with a command; commands are refused while it is empty.
+    std::string operator_credential;
+    observe::log_level threshold = observe::log_level::info;
+    /// Only check the settings.
+    bool is_check = false;
+
+    /// Reads flags and environment variables. Fails with invalid_settings.
+    static std::optional<agent_settings> create(int argc, const char** argv, base::error& reason);
+};
+
+} // namespace ospreystair::agent
+
+#endif
--- /dev/null
+++ b/programs/agent/agent_state.hpp
@@ -0,0 +1,84 @@
+// What the agent knows and gives to its entry: configuration, indexes, drains and members.
+
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_AGENT_STATE_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_AGENT_STATE_HPP
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+#include "base/error.hpp"
+#include "configuration/view.hpp"
+#include "observe/event_log.hpp"
+
+namespace ospreystair::agent
+{
+
+/// The text and version of the configuration in force here.
+struct held_document
+{
+    std::uint64_t version = 0;
+    std::string text;
+};
+
+/// Thread-safe. Versions of the configuration and of each index only rise.
+class agent_state
+{
+public:
+    explicit agent_state(observe::event_log& events);
+
+    /// Adopts a configuration document of a higher version if it passes its check as a whole.
+    /// Returns whether it was adopted.
+    bool adopt_configuration(std::uint64_t version, const std::string& text,
+                             std::string_view source);
+    /// Adopts an index object of a higher version if it passes its check and its current version
+    /// is not lower than the one held. Returns whether it was adopted.
+    bool adopt_index(const std::string& service, std::uint64_t version, const std::string& text,
+                     std::string_view source);
+    /// Replaces the names of the draining replicas and the members.
+    void set_draining(std::set<std::string> names);
+    void set_members(std::vector<configuration::member> members);
+
+    held_document configuration() const;
+    std::uint64_t configuration_version() const;
+    std::uint64_t index_version(const std::string& service) const;
+    std::vector<std::string> service_names() const;
+    bool is_replica(const std::string& name) const;
+    std::set<std::string> draining() const;
+
+    /// The result of the `view` method: the whole view, or `changed` false when `since` is the
+    /// current revision.
+    Json::Value view_since(std::uint64_t since) const;
+    std::uint64_t revision() const;
+
+private:
+    struct held_index
+    {
+        std::uint64_t version = 0;
+        configuration::index_state state;
+    };
+
+    // Logs a refused document once per version, so that polling it does not repeat the line.
+    void log_refusal(std::string_view name, std::uint64_t version, std::string_view source,
+                     const base::error& reason);
+
+    observe::event_log& m_events;
+    mutable std::mutex m_mutex;
+    // All below are guarded by m_mutex. m_view.configuration_version never decreases, nor does the
+    // version or the current index version of any held_index.
+    configuration::view m_view;
+    std::string m_configuration_text;
+    std::set<std::string> m_replica_names;
+    std::map<std::string, held_index> m_indexes;
+    std::map<std::string, std::uint64_t> m_refused;
+};
+
+} // namespace ospreystair::agent
+
+#endif
--- /dev/null
+++ b/source/membership/news_table.cpp
@@ -0,0 +1,53 @@
+// Merge rule of versioned registers.
+
+#include "membership/news_table.hpp"
+
+namespace ospreystair::membership
+{
+
+news_table::merge_result news_table::merge(const protocol::register_item& item)
+{
+    if (item.key.empty() || item.key.size() > max_key_bytes || item.version <= version(item.key))
+        return merge_result::ignored;
+    if (!item.value)
+        return merge_result::wanted;
+    if (item.value->size() > max_value_bytes ||
+        (m_entries.size() >= max_registers && !m_entries.contains(item.key)))
+        return merge_result::ignored;
+    m_entries[item.key] = entry{item.version, *item.value};
+    return merge_result::adopted;
+}
+
+std::uint64_t news_table::version(const std::string& key) const
+{
+    const entry* const held = find(key);
+    return held ? held->version : 0;
+}
+
+const news_table::entry* news_table::find(const std::string& key) const
+{
+    const auto position = m_entries.find(key);
+    return position == m_entries.end() ? nullptr : &position->second;
+}
+
+std::vector<protocol::register_item>
+news_table::newer_than(const std::map<std::string, std::uint64_t>& known) const
+{
+    std::vector<protocol::register_item> result;
+    for (const auto& [key, held] : m_entries)
+    {
+        const auto position = known.find(key);
+        if (position == known.end() || position->second < held.version)
+            result.push_back({key, held.version, held.value});
+    }
+    return result;
+}
+
+std::size_t news_table::erase_if(
+    const std::function<bool(const std::string& key, const entry& value)>& is_obsolete)
+{
+    return std::erase_if(m_entries,
+                         [&](const auto& item) { return is_obsolete(item.first, item.second); });
+}
+
+} // namespace ospreystair::membership
--- /dev/null
+++ b/source/membership/news_table.hpp
@@ -0,0 +1,64 @@
+// Versioned registers that agents spread among each other.
+
+#ifndef OSPREYSTAIR_MEMBERSHIP_NEWS_TABLE_HPP
+#define OSPREYSTAIR_MEMBERSHIP_NEWS_TABLE_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "protocol/datagram.hpp"
+
+namespace ospreystair::membership
+{
+
+/// Registers by key. The higher version wins; a version never goes down. Not thread-safe.
+class news_table
+{
+public:
+    /// Bounds the memory that peers can make this process use. Far above the about 3,200 registers
+    /// of the target scale (a drain per replica).
+    static constexpr std::size_t max_registers = 16'384;
+    static constexpr std::size_t max_key_bytes = 160;
+    static constexpr std::size_t max_value_bytes = 64 << 10;
+
+    struct entry
+    {
+        std::uint64_t version = 0;
+        std::string value;
+
+        bool operator==(const entry&) const = default;
+    };
+
+    enum class merge_result
+    {
+        adopted, ///< The register now has the item's version and value.
+        wanted,  ///< The item announces a version that is newer than the one held.
+        ignored  ///< Not newer, or over a limit.
+    };
+
+    merge_result merge(const protocol::register_item& item);
+
+    std::uint64_t version(const std::string& key) const;
+    const entry* find(const std::string& key) const;
+    /// Registers whose version is above the one in `known`; a missing key counts as version 0.
+    std::vector<protocol::register_item>
+    newer_than(const std::map<std::string, std::uint64_t>& known) const;
+    /// Removes the registers that `is_obsolete` names; returns how many.
+    std::size_t
+    erase_if(const std::function<bool(const std::string& key, const entry& value)>& is_obsolete);
+
+    const std::map<std::string, entry>& entries() const { return m_entries; }
+
+private:
+    // At most max_registers.
+    std::map<std::string, entry> m_entries;
+};
+
+} // namespace ospreystair::membership
+
+#endif
