--- /dev/null
+++ b/source/routing/connection_quota.hpp
@@ -0,0 +1,27 @@
+// How many connections to a replica one VM may hold, as a function of the list of live VMs.
+
+#ifndef OSPREYSTAIR_ROUTING_CONNECTION_QUOTA_HPP
+#define OSPREYSTAIR_ROUTING_CONNECTION_QUOTA_HPP
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ospreystair::routing
+{
+
+/// Connections of a replica that are handed out: 90% of its limit, at least 1.
+std::uint32_t shared_connections(std::uint32_t limit);
+
+/// Connections kept for a VM that the others do not know yet.
+std::uint32_t reserved_connections(std::uint32_t limit);
+
+/// Returns the share of `vm` when `live_vms` are alive; 0 when it owns none of the replica's
+/// connections or is not in the list. Invariant: over all VMs of one list the sum is at most
+/// `shared_connections(limit)`, and at least one VM has a connection.
+std::uint32_t connection_quota(const std::string& vm, const std::vector<std::string>& live_vms,
+                               const std::string& replica, std::uint32_t limit);
+
+} // namespace ospreystair::routing
+
+#endif
--- /dev/null
+++ b/source/routing/replica_selector.hpp
@@ -0,0 +1,240 @@
+// Chooses the replica of a shard for one sub-request.
+
+#ifndef OSPREYSTAIR_ROUTING_REPLICA_SELECTOR_HPP
+#define OSPREYSTAIR_ROUTING_REPLICA_SELECTOR_HPP
+
+#include <algorithm>
+#include <cstddef>
+#include <optional>
+#include <span>
+#include <string>
+#include <utility>
+
+#include <boost/container/small_vector.hpp>
+#include <fmt/format.h>
+
+#include "base/random.hpp"
+#include "routing/replica_tracker.hpp"
+
+namespace ospreystair::routing
+{
+
+/// Least loaded of two random usable replicas. Thread-safe as long as each thread passes its own
+/// random source.
+template<base::clock_source Clock>
+class replica_selector
+{
+public:
+    replica_selector(replica_tracker<Clock>& tracker, std::string data_centre)
+        : m_tracker(tracker), m_data_centre(std::move(data_centre))
+    {
+    }
+
+    /// Returns a replica of `shard` that is not in `excluded`; the pointer is into `shard`. The
+    /// caller counts the request with `replica_tracker::begin`. Threads that choose at the same
+    /// moment may send a probe each; the tracker takes the first as the probe. Fails with
+    /// `draining` when all others are leaving and with `unreachable` when no replica is left to
+    /// try.
+    template<base::random_source Random>
+    const configuration::replica* choose(const configuration::shard& shard,
+                                         std::span<const std::string> excluded, Random& random,
+                                         base::error& reason) const
+    {
+        candidate_list candidates = usable(shard, excluded);
+        if (candidates.empty())
+            return refuse(shard, excluded, reason);
+        if (const candidate* probe = find_probe(candidates, !excluded.empty()))
+            return probe->replica;
+        if (candidates.size() == 1)
+            return candidates.front().replica;
+        keep_preferred(candidates);
+        drop_warming(candidates, random);
+        return less_loaded_of_two(candidates, random).replica;
+    }
+
+    /// Returns whether `choose` would find a replica; for the decision whether to hedge.
+    bool has_usable(const configuration::shard& shard, std::span<const std::string> excluded) const
+    {
+        return !usable(shard, excluded).empty();
+    }
+
+private:
+    struct candidate
+    {
+        const configuration::replica* replica = nullptr;
+        replica_snapshot state;
+    };
+    // Most shards have two replicas, the largest at the current scale has 11.
+    using candidate_list = boost::container::small_vector<candidate, 12>;
+
+    template<class Predicate>
+    static void remove_if(candidate_list& candidates, Predicate predicate)
+    {
+        candidates.erase(std::remove_if(candidates.begin(), candidates.end(), predicate),
+                         candidates.end());
+    }
+
+    static bool contains(std::span<const std::string> names, const std::string& name)
+    {
+        return std::find(names.begin(), names.end(), name) != names.end();
+    }
+
+    candidate_list usable(const configuration::shard& shard,
+                          std::span<const std::string> excluded) const
+    {
+        candidate_list candidates;
+        for (const configuration::replica& replica : shard.replicas)
+        {
+            const replica_snapshot state = m_tracker.snapshot(replica.name);
+            if (!state.draining)
+                candidates.push_back({&replica, state});
+        }
+        readmit_above_half(candidates);
+        remove_if(candidates, [excluded](const candidate& each)
+                  { return each.state.ejected || contains(excluded, each.replica->name); });
+        return candidates;
+    }
+
+    /// Uses the replicas whose ejection ends first in spite of it, so that at most half of the
+    /// replicas that are not leaving are ejected: a fault that hits all of them is not cured by
+    /// sending them nothing.
+    static void readmit_above_half(candidate_list& candidates)
+    {
+        const auto is_ejected = [](const candidate& each)
+        {
+            return each.state.ejected;
+        };
+        auto count = static_cast<std::size_t>(
+            std::count_if(candidates.begin(), candidates.end(), is_ejected));
+        for (; count > candidates.size() / 2; --count)
+        {
+            candidate* earliest = nullptr;
+            for (candidate& each : candidates)
+                if (is_ejected(each) &&
+                    (!earliest || each.state.ejected_until < earliest->state.ejected_until))
+                    earliest = &each;
+            earliest->state.ejected = false;
+        }
+    }
+
+    /// A first attempt carries the probe, because another replica remains for a hedge or retry; a
+    /// later attempt avoids replicas in doubt.
+    static const candidate* find_probe(candidate_list& candidates, bool is_later_attempt)
+    {
+        const auto is_probe = [](const candidate& each)
+        {
+            return each.state.probe_due;
+        };
+        const auto position = std::find_if(candidates.begin(), candidates.end(), is_probe);
+        if (position == candidates.end())
+            return nullptr;
+        if (!is_later_attempt)
+            return &*position;
+        if (!std::all_of(candidates.begin(), candidates.end(), is_probe))
+            remove_if(candidates, is_probe);
+        return nullptr;
+    }
+
+    /// Leaves out replicas that shed work or report a drain, as long as others remain.
+    static void keep_preferred(candidate_list& candidates)
+    {
+        const auto is_avoided = [](const candidate& each)
+        {
+            return each.state.shedding || (each.state.report && each.state.report->draining);
+        };
+        if (!std::all_of(candidates.begin(), candidates.end(), is_avoided))
+            remove_if(candidates, is_avoided);
+    }
+
+    /// Leaves out each warming replica with the probability that its share lacks to 1, as long as
+    /// others remain.
+    template<base::random_source Random>
+    static void drop_warming(candidate_list& candidates, Random& random)
+    {
+        constexpr std::uint64_t steps = 1'000'000;
+        for (std::size_t index = candidates.size(); index-- > 0 && candidates.size() > 1;)
+        {
+            const double share = candidates[index].state.warm_share;
+            if (share < 1 && static_cast<double>(random.below(steps)) >= share * steps)
+                candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(index));
+        }
+    }
+
+    template<base::random_source Random>
+    const candidate& less_loaded_of_two(const candidate_list& candidates, Random& random) const
+    {
+        const std::size_t first = random.below(candidates.size());
+        if (candidates.size() == 1)
+            return candidates[first];
+        std::size_t second = random.below(candidates.size() - 1);
+        if (second >= first)
+            ++second;
+        return is_better(candidates[second], candidates[first]) ? candidates[second]
+                                                                : candidates[first];
+    }
+
+    /// Compares load, then clearly different latency, then data centre, then the reports.
+    bool is_better(const candidate& left, const candidate& right) const
+    {
+        const std::uint64_t left_load = std::uint64_t{left.state.in_flight} * right.state.slots;
+        const std::uint64_t right_load = std::uint64_t{right.state.in_flight} * left.state.slots;
+        if (left_load != right_load)
+            return left_load < right_load;
+        if (left.state.latency && right.state.latency)
+        {
+            // Differences below a half are mostly noise of single samples.
+            if (*left.state.latency * 3 < *right.state.latency * 2)
+                return true;
+            if (*right.state.latency * 3 < *left.state.latency * 2)
+                return false;
+        }
+        const bool left_is_near = left.replica->data_centre == m_data_centre;
+        const bool right_is_near = right.replica->data_centre == m_data_centre;
+        if (left_is_near != right_is_near)
+            return left_is_near;
+        return reported_load(left) < reported_load(right);
+    }
+
+    static double reported_load(const candidate& each)
+    {
+        if (!each.state.report)
+            return 0;
+        return static_cast<double>(each.state.report->in_flight + each.state.report->queued) /
+               each.state.slots;
+    }
+
+    const configuration::replica* refuse(const configuration::shard& shard,
+                                         std::span<const std::string> excluded,
+                                         base::error& reason) const
+    {
+        std::size_t draining = 0;
+        std::size_t ejected = 0;
+        std::size_t tried = 0;
+        for (const configuration::replica& replica : shard.replicas)
+        {
+            const replica_snapshot state = m_tracker.snapshot(replica.name);
+            if (contains(excluded, replica.name))
+                ++tried;
+            else if (state.draining)
+                ++draining;
+            else
+                ++ejected;
+        }
+        const bool is_drained = draining > 0 && ejected == 0;
+        base::fail(reason, is_drained ? base::error_kind::draining : base::error_kind::unreachable,
+                   fmt::format("shard {} has no usable replica: {} tried, {} draining, {} ejected "
+                               "after failures; {}",
+                               shard.name, tried, draining, ejected,
+                               is_drained ? "add a replica or end the drain"
+                                          : "check the replicas' processes and network"),
+                   std::chrono::milliseconds{1000});
+        return nullptr;
+    }
+
+    replica_tracker<Clock>& m_tracker;
+    std::string m_data_centre;
+};
+
+} // namespace ospreystair::routing
+
+#endif
