--- /dev/null
+++ b/source/dispatch/claim_bucket.cpp
@@ -0,0 +1,162 @@
+// Changes of a bucket document and its JSON form.
+
+#include "dispatch/claim_bucket.hpp"
+
+#include <cassert>
+#include <memory>
+#include <utility>
+
+#include <json/json.h>
+
+namespace ospreystair::dispatch
+{
+
+namespace
+{
+
+// {"key":{"t":"…","r":"…","o":"unknown","a":"…"},…}: quotes, names and separators around the texts.
+constexpr std::size_t bytes_around_record = 30;
+constexpr std::size_t bytes_of_outcome = 14;
+constexpr std::size_t bytes_around_answer = 8;
+
+// Upper bound of the bytes of a text in JSON, without its quotes.
+std::size_t json_bytes(const std::string& text)
+{
+    constexpr std::size_t bytes_of_unicode_escape = 6;
+    std::size_t bytes = 0;
+    for (const char character : text)
+    {
+        const auto byte = static_cast<unsigned char>(character);
+        if (byte < 0x20 || byte >= 0x7f)
+            bytes += bytes_of_unicode_escape;
+        else
+            bytes += character == '"' || character == '\\' || character == '/' ? 2 : 1;
+    }
+    return bytes;
+}
+
+std::size_t answer_bytes(const claim_record& record)
+{
+    return record.answer ? bytes_around_answer + json_bytes(*record.answer) : 0;
+}
+
+std::size_t record_bytes(const std::string& key, const claim_record& record)
+{
+    return bytes_around_record + json_bytes(key) + json_bytes(record.token) +
+           json_bytes(record.request_id) + (record.result ? bytes_of_outcome : 0) +
+           answer_bytes(record);
+}
+
+std::optional<claim_record> parse_record(const Json::Value& value)
+{
+    if (!value.isObject() || !value["t"].isString() || !value["r"].isString())
+        return std::nullopt;
+    claim_record record{value["t"].asString(), value["r"].asString(), {}, {}};
+    if (value.isMember("o"))
+    {
+        if (!value["o"].isString())
+            return std::nullopt;
+        // An outcome that a newer release added counts as unknown, the one that claims nothing.
+        record.result = outcome_from_text(value["o"].asString()).value_or(outcome::unknown);
+    }
+    if (value["a"].isString())
+        record.answer = value["a"].asString();
+    return record;
+}
+
+} // namespace
+
+std::optional<claim_bucket> claim_bucket::from_text(const std::string& text, base::error& reason)
+{
+    claim_bucket bucket;
+    Json::Value root;
+    const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
+    std::string message;
+    bool is_valid = false;
+    try
+    {
+        is_valid = reader->parse(text.data(), text.data() + text.size(), &root, &message) &&
+                   root.isObject() && root["claims"].isObject();
+        if (is_valid)
+            for (const std::string& key : root["claims"].getMemberNames())
+            {
+                auto record = parse_record(root["claims"][key]);
+                is_valid = is_valid && record;
+                if (!record)
+                    break;
+                bucket.m_bytes += record_bytes(key, *record);
+                bucket.m_claims.emplace(key, std::move(*record));
+            }
+    }
+    catch (const Json::Exception& exception)
+    {
+        is_valid = false;
+        message = exception.what();
+    }
+    if (!is_valid)
+        return base::fail(reason, base::error_kind::protocol,
+                          "a claim bucket in the platform is malformed; no command of it is run; "
+                          "restore or delete the object");
+    return bucket;
+}
+
+std::string claim_bucket::to_text() const
+{
+    Json::Value root;
+    Json::Value& claims = root["claims"] = Json::objectValue;
+    for (const auto& [key, record] : m_claims)
+    {
+        Json::Value& value = claims[key];
+        value["t"] = record.token;
+        value["r"] = record.request_id;
+        if (record.result)
+            value["o"] = std::string(to_string(*record.result));
+        if (record.answer)
+            value["a"] = *record.answer;
+    }
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, root);
+}
+
+const claim_record* claim_bucket::find(const std::string& key) const
+{
+    const auto position = m_claims.find(key);
+    return position == m_claims.end() ? nullptr : &position->second;
+}
+
+bool claim_bucket::add(const std::string& key, claim_record record)
+{
+    assert(!m_claims.contains(key));
+    const std::size_t bytes = record_bytes(key, record);
+    if (m_bytes + bytes > max_bytes_for_claims)
+        return false;
+    m_bytes += bytes;
+    m_claims.emplace(key, std::move(record));
+    return true;
+}
+
+bool claim_bucket::record(const std::string& key, const std::string& token, outcome result,
+                          std::optional<std::string> answer)
+{
+    const auto position = m_claims.find(key);
+    if (position == m_claims.end() || position->second.token != token)
+        return false;
+    claim_record& claim = position->second;
+    if (claim.result)
+        return claim.result == result;
+    m_bytes -= record_bytes(key, claim);
+    if (result == outcome::not_run)
+    {
+        m_claims.erase(position);
+        return true;
+    }
+    claim.result = result;
+    if (answer && answer->size() <= max_answer_bytes &&
+        m_bytes + json_bytes(*answer) <= max_bytes_for_answers)
+        claim.answer = std::move(answer);
+    m_bytes += record_bytes(key, claim);
+    return true;
+}
+
+} // namespace ospreystair::dispatch
