Standins: Add fault-proxy

Cause: tests of partitions, lost replies and slow links need a party between the processes that can disturb single paths while they run.

Delay, loss, bandwidth, cut, freeze, one-way loss, half-open connections and lost replies are set per route by POST /control. The control port and the thread set-up are shared with standin-upstream.

--- /dev/null
+++ b/standins/fault_proxy/tcp_route.cpp
@@ -0,0 +1,387 @@
+// Carries TCP connections. Each direction has a reader that fills a queue and a writer that empties
+// it when the bytes are due.
+
+#include "standins/fault_proxy/tcp_route.hpp"
+
+#include <array>
+#include <deque>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+#include "http/client_connection.hpp"
+
+namespace ospreystair::fault_proxy
+{
+
+namespace asio = http::asio;
+using std::chrono::steady_clock;
+
+namespace
+{
+
+// Bytes that a direction may hold back; beyond it the reader waits, as a full network path would.
+constexpr std::size_t max_queued_bytes = 1 << 20;
+constexpr std::size_t read_bytes = 16 << 10;
+
+} // namespace
+
+/// One direction of a connection.
+struct tcp_route::pipe
+{
+    struct chunk
+    {
+        base::time_point due;
+        // Empty for the end of the stream.
+        std::string bytes;
+    };
+
+    explicit pipe(asio::io_context& context) : readable(context), writable(context) {}
+
+    std::deque<chunk> queue;
+    std::size_t queued_bytes = 0;
+    base::time_point last_due{};
+    asio::steady_timer readable;
+    asio::steady_timer writable;
+};
+
+/// One carried connection.
+struct tcp_route::tunnel
+{
+    tunnel(asio::io_context& context, http::tcp::socket accepted)
+        : client(std::move(accepted)), target(context), forward(context), backward(context)
+    {
+    }
+
+    pipe& pipe_of(direction way) { return way == direction::forward ? forward : backward; }
+    http::tcp::socket& source(direction way) { return way == direction::forward ? client : target; }
+    http::tcp::socket& sink(direction way) { return way == direction::forward ? target : client; }
+
+    void wake()
+    {
+        for (pipe* item : {&forward, &backward})
+        {
+            item->readable.cancel();
+            item->writable.cancel();
+        }
+    }
+
+    http::tcp::socket client;
+    http::tcp::socket target;
+    pipe forward;
+    pipe backward;
+    std::uint64_t reply_bytes = 0;
+    int open_directions = 2;
+    bool is_closed = false;
+    // The target's side is gone and the client has not been told.
+    bool is_half_open = false;
+};
+
+tcp_route::tcp_route(asio::io_context& context, const route_settings& settings)
+    : m_context(context), m_listen(http::make_endpoint(settings.listen.host, settings.listen.port)),
+      m_target(http::make_endpoint(settings.target.host, settings.target.port)), m_acceptor(context)
+{
+}
+
+std::optional<std::shared_ptr<tcp_route>>
+tcp_route::create(asio::io_context& context, const route_settings& settings, base::error& reason)
+{
+    std::shared_ptr<tcp_route> result(new tcp_route(context, settings));
+    boost::system::error_code code;
+    if (result->bind(code))
+        result->m_acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code)
+        return base::fail(reason,
+                          code == asio::error::address_in_use ? base::error_kind::address_in_use
+                                                              : base::error_kind::invalid_settings,
+                          fmt::format("cannot listen on {}: {}; stop the process that owns the "
+                                      "address or choose another in --routes",
+                                      settings.listen.to_text(), code.message()));
+    result->accept_new();
+    return result;
+}
+
+bool tcp_route::bind(boost::system::error_code& code)
+{
+    m_acceptor.open(m_listen.protocol(), code);
+    if (!code)
+        m_acceptor.set_option(http::tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        m_acceptor.bind(m_listen, code);
+    return !code;
+}
+
+void tcp_route::refuse_new()
+{
+    // A socket that is bound but does not listen refuses connections and keeps the port.
+    boost::system::error_code code;
+    m_acceptor.close(code);
+    bind(code);
+    m_is_accepting = false;
+}
+
+void tcp_route::accept_new()
+{
+    boost::system::error_code code;
+    m_acceptor.listen(asio::socket_base::max_listen_connections, code);
+    if (code || std::exchange(m_is_accepting, true))
+        return;
+    asio::co_spawn(
+        m_context, [self = shared_from_this()] { return self->accept_connections(); },
+        asio::detached);
+}
+
+http::awaitable<void> tcp_route::accept_connections()
+{
+    const auto self = shared_from_this();
+    constexpr std::chrono::milliseconds pause_after_failure{10};
+    for (;;)
+    {
+        boost::system::error_code code;
+        http::tcp::socket socket =
+            co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, code));
+        // A connection that was accepted just before a cut is closed with `socket`.
+        if (code == asio::error::operation_aborted || !m_is_accepting)
+            co_return;
+        if (code)
+        {
+            // Out of descriptors, for example: wait instead of spinning.
+            asio::steady_timer timer(m_context, pause_after_failure);
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
+        ++m_counts.connections;
+        const auto current = std::make_shared<tunnel>(m_context, std::move(socket));
+        m_tunnels.insert(current);
+        asio::co_spawn(
+            m_context, [self, current] { return self->carry(current); }, asio::detached);
+    }
+}
+
+http::awaitable<void> tcp_route::carry(std::shared_ptr<tunnel> current)
+{
+    boost::system::error_code code;
+    current->client.set_option(http::tcp::no_delay(true), code);
+    if (m_behaviour.mode() == route_mode::half_open)
+        current->is_half_open = true;
+    else if (!co_await connect_target(current))
+    {
+        reset(*current);
+        m_tunnels.erase(current);
+        co_return;
+    }
+    const auto self = shared_from_this();
+    for (const direction way : {direction::forward, direction::backward})
+    {
+        asio::co_spawn(
+            m_context, [self, current, way] { return self->receive(current, way); },
+            asio::detached);
+        asio::co_spawn(
+            m_context, [self, current, way] { return self->deliver(current, way); },
+            asio::detached);
+    }
+}
+
+http::awaitable<bool> tcp_route::connect_target(std::shared_ptr<tunnel> current)
+{
+    boost::system::error_code code;
+    while (m_behaviour.is_frozen() && !current->is_closed)
+    {
+        current->forward.readable.expires_at(base::time_point::max());
+        co_await current->forward.readable.async_wait(
+            asio::redirect_error(asio::use_awaitable, code));
+    }
+    if (current->is_closed)
+        co_return false;
+    co_await current->target.async_connect(m_target,
+                                           asio::redirect_error(asio::use_awaitable, code));
+    if (code || current->is_closed)
+    {
+        ++m_counts.unreachable;
+        co_return false;
+    }
+    current->target.set_option(http::tcp::no_delay(true), code);
+    co_return true;
+}
+
+http::awaitable<void> tcp_route::receive(std::shared_ptr<tunnel> current, direction way)
+{
+    pipe& line = current->pipe_of(way);
+    std::array<char, read_bytes> bytes{};
+    while (!current->is_closed)
+    {
+        boost::system::error_code code;
+        if (m_behaviour.is_frozen() || line.queued_bytes >= max_queued_bytes ||
+            (current->is_half_open && way == direction::backward))
+        {
+            line.writable.expires_at(base::time_point::max());
+            co_await line.writable.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
+        const std::size_t size = co_await current->source(way).async_read_some(
+            asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, code));
+        if (current->is_closed)
+            break;
+        if (current->is_half_open && way == direction::backward)
+            continue;
+        if (code == asio::error::eof && !current->is_half_open)
+        {
+            line.queue.push_back(
+                {m_behaviour.due_time(way, steady_clock::now(), line.last_due, 0), std::string()});
+            line.readable.cancel();
+            co_return;
+        }
+        if (code || !take_in(*current, way, std::string(bytes.data(), size)))
+            reset(*current);
+    }
+    m_tunnels.erase(current);
+}
+
+// Returns false when the connection is to be reset.
+bool tcp_route::take_in(tunnel& current, direction way, std::string bytes)
+{
+    if (current.is_half_open)
+    {
+        m_counts.dropped_bytes += bytes.size();
+        // Once the path is back, the target answers bytes of an unknown connection with a reset.
+        return m_behaviour.mode() == route_mode::half_open;
+    }
+    if (m_behaviour.discards(way))
+    {
+        m_counts.dropped_bytes += bytes.size();
+        return true;
+    }
+    if (way == direction::backward)
+    {
+        if (const auto limit = m_behaviour.reply_limit())
+        {
+            if (current.reply_bytes + bytes.size() > *limit)
+            {
+                m_behaviour.count_lost_reply();
+                ++m_counts.replies_lost;
+                m_counts.dropped_bytes += bytes.size();
+                return false;
+            }
+            current.reply_bytes += bytes.size();
+        }
+    }
+    pipe& line = current.pipe_of(way);
+    line.last_due = m_behaviour.due_time(way, steady_clock::now(), line.last_due, bytes.size());
+    line.queued_bytes += bytes.size();
+    line.queue.push_back({line.last_due, std::move(bytes)});
+    line.readable.cancel();
+    return true;
+}
+
+http::awaitable<void> tcp_route::deliver(std::shared_ptr<tunnel> current, direction way)
+{
+    pipe& line = current->pipe_of(way);
+    while (!current->is_closed)
+    {
+        boost::system::error_code code;
+        const bool must_wait = line.queue.empty() || m_behaviour.is_frozen() ||
+                               (current->is_half_open && way == direction::forward);
+        if (must_wait || line.queue.front().due > steady_clock::now())
+        {
+            line.readable.expires_at(must_wait ? base::time_point::max() : line.queue.front().due);
+            co_await line.readable.async_wait(asio::redirect_error(asio::use_awaitable, code));
+            continue;
+        }
+        const std::string bytes = std::move(line.queue.front().bytes);
+        line.queue.pop_front();
+        line.queued_bytes -= bytes.size();
+        line.writable.cancel();
+        if (bytes.empty())
+        {
+            current->sink(way).shutdown(http::tcp::socket::shutdown_send, code);
+            if (--current->open_directions == 0)
+                break;
+            co_return;
+        }
+        (way == direction::forward ? m_counts.forward_bytes : m_counts.backward_bytes) +=
+            bytes.size();
+        co_await asio::async_write(current->sink(way), asio::buffer(bytes),
+                                   asio::redirect_error(asio::use_awaitable, code));
+        if (code && !current->is_half_open)
+            reset(*current);
+    }
+    m_tunnels.erase(current);
+}
+
+void tcp_route::open_half(tunnel& current)
+{
+    current.is_half_open = true;
+    boost::system::error_code code;
+    current.target.close(code);
+    current.wake();
+}
+
+void tcp_route::reset(tunnel& current)
+{
+    if (std::exchange(current.is_closed, true))
+        return;
+    ++m_counts.resets;
+    boost::system::error_code code;
+    for (http::tcp::socket* socket : {&current.client, &current.target})
+    {
+        // Closing with a linger time of zero sends a reset instead of an orderly end.
+        socket->set_option(asio::socket_base::linger(true, 0), code);
+        socket->close(code);
+    }
+    current.wake();
+}
+
+void tcp_route::wake_all()
+{
+    for (const auto& item : m_tunnels)
+        item->wake();
+}
+
+std::optional<bool> tcp_route::apply(const Json::Value& change, base::error& reason)
+{
+    const route_mode before = m_behaviour.mode();
+    if (!m_behaviour.apply(change, reason))
+        return std::nullopt;
+    if (change.isMember("lose_reply"))
+        for (const auto& item : m_tunnels)
+            item->reply_bytes = 0;
+    const route_mode now = m_behaviour.mode();
+    if (now == before)
+        return true;
+    if (now == route_mode::cut)
+    {
+        refuse_new();
+        for (const auto& item : std::vector(m_tunnels.begin(), m_tunnels.end()))
+            reset(*item);
+        m_tunnels.clear();
+    }
+    else if (before == route_mode::cut)
+        accept_new();
+    if (now == route_mode::half_open)
+        for (const auto& item : m_tunnels)
+            open_half(*item);
+    wake_all();
+    return true;
+}
+
+Json::Value tcp_route::counts_to_json() const
+{
+    Json::Value result;
+    const auto put = [&result](const char* name, std::uint64_t value)
+    {
+        result[name] = static_cast<Json::UInt64>(value);
+    };
+    put("connections", m_counts.connections);
+    put("open_connections", m_tunnels.size());
+    put("resets", m_counts.resets);
+    put("unreachable", m_counts.unreachable);
+    put("replies_lost", m_counts.replies_lost);
+    put("forward_bytes", m_counts.forward_bytes);
+    put("backward_bytes", m_counts.backward_bytes);
+    put("dropped_bytes", m_counts.dropped_bytes);
+    return result;
+}
+
+} // namespace ospreystair::fault_proxy
--- a/standins/upstream/main.cpp
+++ b/standins/upstream/main.cpp
@@ -1,20 +1,17 @@
 // standin-upstream: hosts many stand-in replicas in one process, each on its own port.
 
-#include <csignal>
 #include <memory>
 #include <string>
-#include <thread>
 #include <vector>
 
-#include <boost/asio/executor_work_guard.hpp>
 #include <fmt/format.h>
 
 #include "http/client_connection.hpp"
-#include "http/server.hpp"
 #include "settings/option_table.hpp"
-#include "standins/upstream/control.hpp"
+#include "standins/upstream/control_port.hpp"
 #include "standins/upstream/replica.hpp"
 #include "standins/upstream/replica_settings.hpp"
+#include "standins/upstream/worker_contexts.hpp"
 
 namespace ospreystair::standin_upstream
 {
@@ -22,8 +19,6 @@
 namespace
 {
 
-namespace asio = http::asio;
-
 struct program_settings
 {
     std::vector<replica_settings> replicas;
@@ -64,53 +59,24 @@
 
 std::optional<bool> run(const program_settings& settings, base::error& reason)
 {
-    // Each context is run by one thread, so that a replica's state needs no lock.
-    std::vector<std::unique_ptr<asio::io_context>> contexts;
-    for (std::size_t index = 0; index < settings.threads; ++index)
-        contexts.push_back(std::make_unique<asio::io_context>(1));
-    asio::io_context control_context(1);
-
+    standins::worker_contexts contexts(settings.threads);
     std::vector<std::shared_ptr<replica>> replicas;
     for (const replica_settings& item : settings.replicas)
     {
-        auto created = replica::create(*contexts[replicas.size() % contexts.size()], item,
+        auto created = replica::create(contexts.worker(replicas.size()), item,
                                        base::mix_bits(settings.seed + replicas.size()),
                                        settings.record_limit, reason);
         if (!created)
             return std::nullopt;
         replicas.push_back(std::move(*created));
     }
-    const auto port = std::make_shared<control>(replicas);
-    http::server_options options;
-    options.address = http::make_endpoint(settings.control.host, settings.control.port);
-    const auto server = http::server::create(
-        control_context, options,
-        [port](const http::request& message, std::shared_ptr<http::exchange_context>)
-        { return port->answer(message); },
-        reason);
-    if (!server)
+    const auto port = std::make_shared<standins::control_port<replica>>("replicas", replicas);
+    if (!port->listen(contexts.control(),
+                      http::make_endpoint(settings.control.host, settings.control.port), reason))
         return std::nullopt;
-
-    asio::signal_set signals(control_context, SIGTERM, SIGINT);
-    signals.async_wait(
-        [&](boost::system::error_code, int)
-        {
-            control_context.stop();
-            for (const auto& context : contexts)
-                context->stop();
-        });
-    std::vector<std::thread> threads;
-    std::vector<asio::executor_work_guard<asio::io_context::executor_type>> guards;
-    for (const auto& context : contexts)
-    {
-        guards.push_back(asio::make_work_guard(*context));
-        threads.emplace_back([&context] { context->run(); });
-    }
     fmt::print(stderr, "info standin-upstream started replicas={} control={}\n", replicas.size(),
                settings.control.to_text());
-    control_context.run();
-    for (std::thread& thread : threads)
-        thread.join();
+    contexts.run_until_signal();
     return true;
 }
 
