--- a/standins/fault_proxy/route_behaviour.hpp
+++ b/standins/fault_proxy/route_behaviour.hpp
@@ -1,4 +1,13 @@
 // What a route does with the data it carries. "Forward" is the direction from client to target.
+//
+//     POST /control {"routes":["127.0.0.1:9000","udp:127.0.0.1:9001"] or "all","set":{
+//       "mode":"<route_mode>","delay_forward_ms":10,"delay_backward_ms":10,
+//       "bytes_per_second":100000,                      each direction; 0 is no limit
+//       "loss_forward":0.1,"loss_backward":0.1,         share of datagrams, UDP only
+//       "lose_reply":{"after_bytes":0,"count":1}|null}} TCP only
+//
+// lose_reply resets a connection when its target has sent more than `after_bytes` since the fault
+// was set; the bytes beyond the limit are not passed on.
 
 #ifndef OSPREYSTAIR_STANDINS_FAULT_PROXY_ROUTE_BEHAVIOUR_HPP
 #define OSPREYSTAIR_STANDINS_FAULT_PROXY_ROUTE_BEHAVIOUR_HPP
--- a/standins/upstream/behaviour.hpp
+++ b/standins/upstream/behaviour.hpp
@@ -1,5 +1,19 @@
 // How a replica behaves: limits, service times, index versions, draining and faults. All of it can
-// be changed while the replica runs, by a JSON document on the control port.
+// be changed while the replica runs, by a JSON document on the control port:
+//
+//     POST /control {"replicas":["a","b"] or "all","reset_counts":true,"set":{
+//       "slots":2,"queue":16,"connections":25,"connect_ms":6,
+//       "base_ms":2.5,"straggler_probability":0.01,"straggler_factor":10,
+//       "cold_start_ms":3000,"cold_start_factor":5,     cold from now on, for that long
+//       "draining":true,"drain_refuse_after_ms":2000,   X-Draining at once, refusals later
+//       "shed_probability":0.5,"retry_after_s":1,
+//       "health":"auto"|"ok"|"failing","load":{…}|null, what the endpoints report
+//       "versions":{"7":["s0"],"8":["s0a"]},            all versions held
+//       "publish":{"version":8,"shards":["s0a"]},"drop":[7],
+//       "ignore_cancellation":true,                     works on after the connection is closed
+//       "frozen":true,                                  false also ends the faults "freeze"
+//       "faults":[{"kind":"<fault_kind>","probability":1,"count":3,"only":"search"|"command",
+//                  "delay_ms":500,"version":9}]}}       replaces all faults
 
 #ifndef OSPREYSTAIR_STANDINS_UPSTREAM_BEHAVIOUR_HPP
 #define OSPREYSTAIR_STANDINS_UPSTREAM_BEHAVIOUR_HPP
