--- a/tests/unit/protocol_datagram_test.cpp
+++ b/tests/unit/protocol_datagram_test.cpp
@@ -77,9 +77,9 @@
 // Guards against a length field that makes the receiver reserve gigabytes.
 TEST_F(datagram_codec_test, huge_length_fields_are_refused)
 {
-    for (const std::string& bytes : {std::string("\xdd\xff\xff\xff\xff"), std::string(1000, '\x91'),
-                                     std::string("\xdf\xff\xff\xff\xff"),
-                                     std::string("\xdb\xff\xff\xff\xff")})
+    for (const std::string& bytes :
+         {std::string("\xdd\xff\xff\xff\xff"), std::string(1000, '\x91'),
+          std::string("\xdf\xff\xff\xff\xff"), std::string("\xdb\xff\xff\xff\xff")})
     {
         EXPECT_FALSE(decode(bytes, m_reason));
         EXPECT_EQ(m_reason.kind, base::error_kind::protocol);
