Configuration: Add the command language and the stored object

Cause: operators change the configuration by statements, and the agent reads the object that the statements write.

Drains as news only were ruled out because they are lost with the last VM that knows them; they are part of the document now.

--- /dev/null
+++ b/source/configuration/command_grammar.cpp
@@ -0,0 +1,369 @@
+// The grammar of the command language in Boost.Spirit X3. A file of its own, because it compiles
+// slowly. No rule refers to itself, so that the nesting depth is bounded by the grammar.
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/fusion/include/std_pair.hpp>
+#include <boost/spirit/home/x3.hpp>
+#include <fmt/format.h>
+
+#include "configuration/command.hpp"
+
+namespace ospreystair::configuration
+{
+
+namespace
+{
+
+namespace x3 = boost::spirit::x3;
+
+// Sets a member of the rule's value; a clause that is given twice does not match.
+template<class Owner, class Value>
+auto set(Value Owner::*member)
+{
+    return [member](auto& context)
+    {
+        x3::_val(context).*member = x3::_attr(context);
+    };
+}
+
+template<class Owner, class Value>
+auto set_once(std::optional<Value> Owner::*member)
+{
+    return [member](auto& context)
+    {
+        auto& target = x3::_val(context).*member;
+        if (target)
+            x3::_pass(context) = false;
+        target = x3::_attr(context);
+    };
+}
+
+const auto name_character = x3::char_("a-zA-Z0-9_.-");
+
+auto keyword(const char* text)
+{
+    return x3::lexeme[x3::lit(text) >> !name_character];
+}
+
+const x3::rule<class name_id, std::string> name = "a name";
+const auto name_def = x3::lexeme[+name_character];
+
+const x3::rule<class number_id, std::uint32_t> number = "a whole number";
+const auto number_def = x3::lexeme[x3::uint32 >> !name_character];
+
+const x3::rule<class version_id, std::uint64_t> version_number = "a version number";
+const auto version_number_def = x3::lexeme[x3::uint64 >> !name_character];
+
+const x3::rule<class duration_id, std::chrono::milliseconds> milliseconds = "a time like 500ms";
+const auto milliseconds_def = x3::lexeme[x3::uint32 >> "ms" >> !name_character][(
+    [](auto& context) { x3::_val(context) = std::chrono::milliseconds{x3::_attr(context)}; })];
+
+const x3::rule<class address_id, settings::socket_address> address = "an address like 10.0.0.1:80";
+const auto address_def = x3::lexeme[+x3::char_("0-9a-fA-F:.[]")][(
+    [](auto& context)
+    {
+        const auto& characters = x3::_attr(context);
+        const auto parsed =
+            settings::socket_address::from_text(std::string(characters.begin(), characters.end()));
+        if (parsed)
+            x3::_val(context) = *parsed;
+        else
+            x3::_pass(context) = false;
+    })];
+
+const auto kind = [](const char* text, service_kind value)
+{
+    return keyword(text) >> x3::attr(value);
+};
+const auto prefer = [](const char* text, preference value)
+{
+    return keyword(text) >> x3::attr(value);
+};
+
+const x3::rule<class kind_id, service_kind> service_kind_value = "query or command";
+const auto service_kind_value_def =
+    kind("query", service_kind::query) | kind("command", service_kind::command);
+
+const x3::rule<class preference_id, preference> preference_value = "latency or coverage";
+const auto preference_value_def =
+    prefer("latency", preference::latency) | prefer("coverage", preference::coverage);
+
+const x3::rule<class rules_id, service_rules> rules = "service rules";
+const auto rule_clause =
+    (keyword("prefer") > preference_value[set_once(&service_rules::prefer)]) |
+    (keyword("deadline") > milliseconds[set_once(&service_rules::deadline)]) |
+    (keyword("max_concurrency") > number[set_once(&service_rules::max_concurrency)]) |
+    (keyword("hedge_percent") > number[set_once(&service_rules::hedge_percent)]) |
+    (keyword("retry_percent") > number[set_once(&service_rules::retry_percent)]);
+const auto rules_def = *rule_clause;
+
+const x3::rule<class properties_id, replica_properties> properties = "replica properties";
+const auto property_clause =
+    (keyword("at") > address[set_once(&replica_properties::address)]) |
+    (keyword("data_centre") > name[set_once(&replica_properties::data_centre)]) |
+    (keyword("slots") > number[set_once(&replica_properties::slots)]) |
+    (keyword("connections") > number[set_once(&replica_properties::connections)]);
+const auto properties_def = *property_clause;
+
+// `service.shard` when neither name has a dot, `shard of service` otherwise.
+const x3::rule<class path_id, shard_path> replica_path = "service.shard";
+const auto replica_path_def =
+    (name >> keyword("of") >> name)[(
+        [](auto& context)
+        {
+            const auto& parts = x3::_attr(context);
+            x3::_val(context) = {boost::fusion::at_c<1>(parts), boost::fusion::at_c<0>(parts)};
+        })] |
+    name[(
+        [](auto& context)
+        {
+            const std::string& text = x3::_attr(context);
+            const std::size_t dot = text.find('.');
+            if (dot == std::string::npos || dot == 0 || dot + 1 == text.size() ||
+                text.find('.', dot + 1) != std::string::npos)
+                x3::_pass(context) = false;
+            else
+                x3::_val(context) = {text.substr(0, dot), text.substr(dot + 1)};
+        })];
+
+const x3::rule<class shard_in_service_id, shard_path> shard_in_service = "shard in service";
+const auto shard_in_service_def = name[set(&shard_path::shard)] >
+                                  keyword("in") > name[set(&shard_path::service)];
+
+const x3::rule<class create_service_id, create_service> create_service_rule = "create service";
+const auto create_service_rule_def =
+    name[set(&create_service::name)] > keyword("kind") >
+    service_kind_value[set(&create_service::kind)] > rules[set(&create_service::rules)];
+
+const x3::rule<class alter_service_id, alter_service> alter_service_rule = "alter service";
+const auto alter_service_rule_def = name[set(&alter_service::name)] >
+                                    keyword("set") > rules[set(&alter_service::rules)];
+
+const x3::rule<class create_replica_id, create_replica> create_replica_rule = "create replica";
+const auto create_replica_rule_def = name[set(&create_replica::name)] >
+                                     keyword("in") > replica_path[set(&create_replica::path)] >
+                                     properties[(
+                                         [](auto& context)
+                                         {
+                                             const replica_properties& given = x3::_attr(context);
+                                             if (!given.address || !given.data_centre)
+                                                 x3::_pass(context) = false;
+                                             x3::_val(context).properties = given;
+                                         })];
+
+const x3::rule<class alter_replica_id, alter_replica> alter_replica_rule = "alter replica";
+const auto alter_replica_rule_def = name[set(&alter_replica::name)] >
+                                    keyword("set") > properties[set(&alter_replica::properties)];
+
+// Wraps a name or a path into the statement that holds nothing else.
+template<class Statement>
+auto make()
+{
+    return [](auto& context)
+    {
+        x3::_val(context) = Statement{x3::_attr(context)};
+    };
+}
+
+auto keep()
+{
+    return [](auto& context)
+    {
+        x3::_val(context) = x3::_attr(context);
+    };
+}
+
+const x3::rule<class change_id, change> change_rule = "a change";
+const auto change_rule_def =
+    (keyword("create") >> ((keyword("service") > create_service_rule[keep()]) |
+                           (keyword("shard") > shard_in_service[make<create_shard>()]) |
+                           (keyword("replica") > create_replica_rule[keep()]))) |
+    (keyword("alter") >> ((keyword("service") > alter_service_rule[keep()]) |
+                          (keyword("replica") > alter_replica_rule[keep()]))) |
+    (keyword("drop") >> ((keyword("service") > name[make<drop_service>()]) |
+                         (keyword("shard") > shard_in_service[make<drop_shard>()]) |
+                         (keyword("replica") > name[make<drop_replica>()]))) |
+    (keyword("drain") > keyword("upstream") > name[make<drain_upstream>()]) |
+    (keyword("restore") > keyword("upstream") > name[make<restore_upstream>()]);
+
+const auto topic = [](const char* text, show_topic value)
+{
+    return keyword(text) >> x3::attr(value);
+};
+
+const x3::rule<class topic_id, show_topic> topic_rule = "what to show";
+const auto topic_rule_def =
+    topic("services", show_topic::services) | topic("shards", show_topic::shards) |
+    topic("replicas", show_topic::replicas) | topic("members", show_topic::members) |
+    topic("configuration", show_topic::configuration) | topic("indexes", show_topic::indexes) |
+    topic("draining", show_topic::draining) | topic("history", show_topic::history);
+
+const x3::rule<class changes_id, std::vector<change>> changes_rule = "changes";
+const auto append = [](auto& context)
+{
+    if (x3::_val(context).size() == max_statement_count)
+        x3::_pass(context) = false;
+    else
+        x3::_val(context).push_back(std::move(x3::_attr(context)));
+};
+const auto changes_rule_def = change_rule[append] >> *(x3::lit(';') >> change_rule[append]) >>
+                              -x3::lit(';');
+
+const x3::rule<class compare_id, compare_versions> compare_rule = "compare version";
+const auto compare_rule_def = keyword("version") > version_number[set(&compare_versions::from)] >
+                              keyword("with") > version_number[set(&compare_versions::to)];
+
+const x3::rule<class inquiry_id, inquiry> inquiry_rule = "an inquiry";
+const auto inquiry_rule_def =
+    (keyword("show") >> keyword("configuration") >> keyword("version") >
+     version_number[make<show_version>()]) |
+    (keyword("show") > topic_rule[make<show>()]) | (keyword("compare") > compare_rule[keep()]) |
+    (keyword("check") > x3::lit('{') > changes_rule[make<check_changes>()] > x3::lit('}'));
+
+const x3::rule<class inquiries_id, std::vector<inquiry>> inquiries_rule = "inquiries";
+const auto inquiries_rule_def = inquiry_rule[append] >> *(x3::lit(';') >> inquiry_rule[append]) >>
+                                -x3::lit(';');
+
+const x3::rule<class names_id, std::vector<std::string>> names_rule = "names";
+const auto names_rule_def = name % ',';
+
+const x3::rule<class publish_id, publish_index> publish_rule = "publish index";
+const auto mark_current = [](auto& context)
+{
+    x3::_val(context).set_current = true;
+};
+const auto publish_rule_def = keyword("publish") >
+                              keyword("index") > name[set(&publish_index::service)] >
+                              keyword("version") > version_number[set(&publish_index::version)] >
+                              ((keyword("shards") > names_rule[set(&publish_index::shards)] >
+                                -(keyword("set") > keyword("current"))[mark_current]) |
+                               (keyword("set") > keyword("current"))[mark_current]) > -x3::lit(';');
+
+const x3::rule<class change_set_id, change_set> change_set_rule = "changes";
+const auto change_set_rule_def =
+    -(keyword("expect") > keyword("version") > version_number[set(&change_set::expected_version)] >
+      -x3::lit(';')) >>
+    changes_rule[set(&change_set::changes)];
+
+const x3::rule<class command_id, command> command_rule = "a command";
+const auto command_rule_def =
+    publish_rule[keep()] | inquiries_rule[keep()] | change_set_rule[keep()];
+
+BOOST_SPIRIT_DEFINE(name, number, version_number, milliseconds, address, service_kind_value,
+                    preference_value, rules, properties, replica_path, shard_in_service,
+                    create_service_rule, alter_service_rule, create_replica_rule,
+                    alter_replica_rule, change_rule, topic_rule, changes_rule, compare_rule,
+                    inquiry_rule, inquiries_rule, names_rule, publish_rule, change_set_rule,
+                    command_rule)
+
+struct usage
+{
+    std::string_view start;
+    std::string_view form;
+};
+
+constexpr usage usages[] = {
+    {"create service", "create service NAME kind query|command [prefer latency|coverage] "
+                       "[deadline 500ms] [max_concurrency N] [hedge_percent N] [retry_percent N]"},
+    {"alter service", "alter service NAME set [prefer latency|coverage] [deadline 500ms] "
+                      "[max_concurrency N] [hedge_percent N] [retry_percent N]"},
+    {"drop service", "drop service NAME"},
+    {"create shard", "create shard NAME in SERVICE"},
+    {"drop shard", "drop shard NAME in SERVICE"},
+    {"create replica", "create replica NAME in SERVICE.SHARD at IP:PORT data_centre NAME "
+                       "[slots N] [connections N]"},
+    {"alter replica",
+     "alter replica NAME set [at IP:PORT] [data_centre NAME] [slots N] [connections N]"},
+    {"drop replica", "drop replica NAME"},
+    {"drain", "drain upstream NAME"},
+    {"restore", "restore upstream NAME"},
+    {"show", "show services|shards|replicas|members|configuration|indexes|draining|history, or "
+             "show configuration version N"},
+    {"compare", "compare version N with N"},
+    {"check", "check { CHANGE; CHANGE }"},
+    {"publish", "publish index SERVICE version N [shards NAME, NAME] [set current]"},
+    {"expect", "expect version N; CHANGE; CHANGE"},
+};
+
+bool is_space(char character)
+{
+    return character == ' ' || character == '\t' || character == '\r' || character == '\n';
+}
+
+// Returns the form of the statement that holds `position`, or the list of statements.
+std::string form_at(std::string_view text, std::size_t position)
+{
+    std::size_t start = text.find_last_of(";{", position == 0 ? 0 : position - 1);
+    start = start == std::string_view::npos ? 0 : start + 1;
+    while (start < text.size() && is_space(text[start]))
+        ++start;
+    constexpr std::size_t longest_start = 32;
+    std::string words;
+    for (const char character : text.substr(start, longest_start))
+        if (!is_space(character))
+            words += character;
+        else if (!words.empty() && words.back() != ' ')
+            words += ' ';
+    for (const usage& item : usages)
+        if (words.starts_with(item.start))
+            return std::string(item.form);
+    return "a statement that starts with create, alter, drop, drain, restore, show, compare, "
+           "check, "
+           "publish or expect; changes and inquiries go into separate commands";
+}
+
+std::string excerpt(std::string_view text, std::size_t position)
+{
+    constexpr std::size_t length = 24;
+    std::string result;
+    for (const char character : text.substr(std::min(position, text.size()), length))
+    {
+        const bool is_printable = character >= ' ' && character <= '~';
+        result += is_printable ? character : '?';
+    }
+    return result.empty() ? "the end" : fmt::format("\"{}\"", result);
+}
+
+std::nullopt_t refuse_at(std::string_view text, std::size_t position, base::error& reason)
+{
+    return base::fail(reason, base::error_kind::invalid_argument,
+                      fmt::format("cannot read the command at character {}, {}; write {}",
+                                  position + 1, excerpt(text, position), form_at(text, position)));
+}
+
+} // namespace
+
+std::optional<command> parse_command(std::string_view text, base::error& reason,
+                                     std::size_t max_bytes)
+{
+    if (text.size() > max_bytes)
+        return base::fail(reason, base::error_kind::invalid_argument,
+                          fmt::format("the command has {} bytes; send at most {} and split it into "
+                                      "several",
+                                      text.size(), max_bytes));
+    // X3's character classes are ASCII only, and std::isspace is undefined for negative values.
+    const auto other =
+        std::find_if(text.begin(), text.end(),
+                     [](char character) { return static_cast<unsigned char>(character) >= 0x80; });
+    if (other != text.end())
+        return refuse_at(text, static_cast<std::size_t>(other - text.begin()), reason);
+
+    command result;
+    const auto* position = text.data();
+    const auto* const end = text.data() + text.size();
+    try
+    {
+        if (x3::phrase_parse(position, end, command_rule, x3::ascii::space, result) &&
+            position == end)
+            return result;
+    }
+    catch (const x3::expectation_failure<const char*>& failure)
+    {
+        position = failure.where();
+    }
+    return refuse_at(text, static_cast<std::size_t>(position - text.data()), reason);
+}
+
+} // namespace ospreystair::configuration
--- a/source/configuration/document.cpp
+++ b/source/configuration/document.cpp
@@ -178,6 +178,12 @@
         if (!check_service(item, replica_names, reason))
             return false;
     }
+    for (const std::string& name : candidate.draining)
+        if (!replica_names.contains(name))
+            return refuse(reason,
+                          fmt::format("draining upstream \"{}\" is no replica; create it or "
+                                      "restore the upstream",
+                                      name));
     return true;
 }
 
@@ -187,6 +193,9 @@
     result["services"] = Json::arrayValue;
     for (const auto& [name, item] : value.services)
         result["services"].append(to_json(item));
+    result["draining"] = Json::arrayValue;
+    for (const std::string& name : value.draining)
+        result["draining"].append(name);
     return result;
 }
 
@@ -203,6 +212,8 @@
                 return base::fail(reason, base::error_kind::invalid_argument,
                                   fmt::format("service \"{}\" occurs twice; remove one", name));
         }
+        for (const Json::Value& name : value["draining"])
+            result.draining.insert(name.asString());
     }
     catch (const Json::Exception& exception)
     {
--- a/source/configuration/document.hpp
+++ b/source/configuration/document.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -81,6 +82,9 @@
 struct document
 {
     std::map<std::string, service> services;
+    /// Names of replicas that operators have drained. Invariant of a checked document: each name is
+    /// that of a replica. Kept here so that a drain is versioned and survives the loss of any VM.
+    std::set<std::string> draining;
 
     bool operator==(const document&) const = default;
 };
--- /dev/null
+++ b/source/configuration/document_change.hpp
@@ -0,0 +1,29 @@
+// Applies changes to a configuration document, and finds the changes between two documents.
+
+#ifndef OSPREYSTAIR_CONFIGURATION_DOCUMENT_CHANGE_HPP
+#define OSPREYSTAIR_CONFIGURATION_DOCUMENT_CHANGE_HPP
+
+#include <optional>
+#include <vector>
+
+#include "base/error.hpp"
+#include "configuration/command.hpp"
+#include "configuration/document.hpp"
+
+namespace ospreystair::configuration
+{
+
+/// Sorts shards and replicas by name, so that equal configurations are equal documents.
+document normalize(document value);
+
+/// Applies `changes` in order and checks the result as a whole. All or nothing: fails with
+/// invalid_argument or not_found, and names the statement. The result is normalized.
+std::optional<document> apply(const std::vector<change>& changes, const document& before,
+                              base::error& reason);
+
+/// Returns changes that turn `before` into `after`; empty when both are equal but for order.
+std::vector<change> changes_between(const document& before, const document& after);
+
+} // namespace ospreystair::configuration
+
+#endif
