Configuration: Execute commands by conditional updates

Cause: two operators can change the configuration at the same time, and the platform can apply a write whose answer is lost.

A change is accepted only when its token is in the object. After a lost answer the same write is repeated from the same version, so that it applies at most once; the history tells whether the version was used by this change or by another. Versions are not assumed to rise by one.

Inquiries are answered from the VM's view, so that they need no platform read and work in an outage; only the history and earlier versions are read there.

--- a/source/configuration/command_grammar.cpp
+++ b/source/configuration/command_grammar.cpp
@@ -292,13 +292,30 @@
     return character == ' ' || character == '\t' || character == '\r' || character == '\n';
 }
 
+constexpr std::string_view any_statement =
+    "a statement that starts with create, alter, drop, drain, restore, show, compare, check, "
+    "publish "
+    "or expect; changes, publications and inquiries go into separate commands";
+
+bool is_brace_open(std::string_view text)
+{
+    return std::count(text.begin(), text.end(), '{') > std::count(text.begin(), text.end(), '}');
+}
+
 // Returns the form of the statement that holds `position`, or the list of statements.
-std::string form_at(std::string_view text, std::size_t position)
+std::string_view form_at(std::string_view text, std::size_t position)
 {
-    std::size_t start = text.find_last_of(";{", position == 0 ? 0 : position - 1);
-    start = start == std::string_view::npos ? 0 : start + 1;
+    const std::size_t separator =
+        position == 0 ? std::string_view::npos : text.find_last_of(";{", position - 1);
+    std::size_t start = separator == std::string_view::npos ? 0 : separator + 1;
     while (start < text.size() && is_space(text[start]))
         ++start;
+    // A statement of its own right that is refused where it starts is of another kind than the
+    // ones before it.
+    if (start == position && start > 0)
+        return any_statement;
+    if (position == text.size() && is_brace_open(text))
+        return "check { CHANGE; CHANGE }";
     constexpr std::size_t longest_start = 32;
     std::string words;
     for (const char character : text.substr(start, longest_start))
@@ -308,10 +325,8 @@
             words += ' ';
     for (const usage& item : usages)
         if (words.starts_with(item.start))
-            return std::string(item.form);
-    return "a statement that starts with create, alter, drop, drain, restore, show, compare, "
-           "check, "
-           "publish or expect; changes and inquiries go into separate commands";
+            return item.form;
+    return any_statement;
 }
 
 std::string excerpt(std::string_view text, std::size_t position)
--- /dev/null
+++ b/tests/unit/configuration_executor_test.cpp
@@ -0,0 +1,351 @@
+// Tests of the command executor over a store that loses and delays answers.
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "base/random.hpp"
+#include "configuration/command_executor.hpp"
+
+namespace ospreystair::configuration
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// A store in memory. A write may lose its answer before or after it takes effect, or take effect
+/// later; a read may fail. Every call yields a random number of times, so that calls interleave.
+class faulty_store
+{
+public:
+    explicit faulty_store(std::uint64_t seed, std::uint64_t fault_percent)
+        : m_random(seed), m_fault_percent(fault_percent)
+    {
+    }
+
+    http::awaitable<std::optional<platform::stored_object>> read(std::string key, base::time_point,
+                                                                 base::error& reason)
+    {
+        co_await yield();
+        if (has_fault())
+            co_return base::fail(reason, base::error_kind::unreachable, "the platform is away");
+        const auto position = m_objects.find(key);
+        if (position == m_objects.end())
+            co_return base::fail(reason, base::error_kind::not_found, "no such object");
+        co_return position->second;
+    }
+
+    http::awaitable<platform::write_status> write(std::string key, std::string value,
+                                                  std::uint64_t expected_version, base::time_point,
+                                                  std::uint64_t& new_version, base::error& reason)
+    {
+        co_await yield();
+        if (has_fault())
+        {
+            base::fail(reason, base::error_kind::outcome_unknown, "the answer was lost");
+            switch (m_random.below(4))
+            {
+            case 0:
+                co_return platform::write_status::unknown;
+            case 1:
+                apply(key, value, expected_version);
+                co_return platform::write_status::unknown;
+            case 2:
+                m_delayed.push_back({key, value, expected_version});
+                co_return platform::write_status::unknown;
+            default:
+                base::fail(reason, base::error_kind::unreachable, "the platform is away");
+                co_return platform::write_status::refused;
+            }
+        }
+        if (!apply(key, value, expected_version))
+        {
+            base::fail(reason, base::error_kind::conflict, "another version");
+            co_return platform::write_status::conflict;
+        }
+        new_version = m_objects[key].version;
+        co_return platform::write_status::applied;
+    }
+
+    http::awaitable<platform::write_status> erase(std::string, std::uint64_t, base::time_point,
+                                                  base::error&)
+    {
+        co_return platform::write_status::refused;
+    }
+    http::awaitable<std::optional<platform::watch_result>>
+    watch(std::string, std::uint64_t, std::chrono::milliseconds, base::error&)
+    {
+        co_return std::nullopt;
+    }
+    http::awaitable<std::optional<std::vector<platform::listed_object>>>
+    list(std::string, base::time_point, base::error&)
+    {
+        co_return std::nullopt;
+    }
+    http::awaitable<std::optional<std::vector<platform::vm_entry>>> list_vms(base::time_point,
+                                                                             base::error&)
+    {
+        co_return std::nullopt;
+    }
+
+    void set_fault_percent(std::uint64_t percent) { m_fault_percent = percent; }
+    void apply_delayed()
+    {
+        for (const delayed_write& item : std::exchange(m_delayed, {}))
+            apply(item.key, item.value, item.expected_version);
+    }
+    const platform::stored_object& object(const std::string& key) { return m_objects[key]; }
+    void put(const std::string& key, const std::string& value)
+    {
+        apply(key, value, m_objects[key].version);
+    }
+
+private:
+    struct delayed_write
+    {
+        std::string key;
+        std::string value;
+        std::uint64_t expected_version = 0;
+    };
+
+    bool has_fault() { return m_random.below(100) < m_fault_percent; }
+
+    bool apply(const std::string& key, const std::string& value, std::uint64_t expected_version)
+    {
+        platform::stored_object& object = m_objects[key];
+        if (object.version != expected_version)
+            return false;
+        object = {value, object.version + 1 + m_random.below(2)};
+        return true;
+    }
+
+    http::awaitable<void> yield()
+    {
+        for (std::uint64_t count = m_random.below(4); count > 0; --count)
+            co_await http::asio::post(co_await http::asio::this_coro::executor,
+                                      http::asio::use_awaitable);
+        if (m_random.below(2) == 0)
+            apply_delayed();
+    }
+
+    base::seeded_random m_random;
+    std::uint64_t m_fault_percent;
+    std::map<std::string, platform::stored_object> m_objects;
+    std::vector<delayed_write> m_delayed;
+};
+
+struct outcome
+{
+    std::string text;
+    std::optional<Json::Value> result;
+    base::error reason;
+};
+
+/// Runs commands of several operators at the same time over one store.
+class operators
+{
+public:
+    explicit operators(std::uint64_t seed, std::uint64_t fault_percent)
+        : m_store(seed, fault_percent)
+    {
+    }
+
+    /// Runs each list of commands one after the other, and the lists concurrently.
+    std::vector<outcome> run(const std::vector<std::vector<std::string>>& lists,
+                             std::chrono::milliseconds time = 400ms)
+    {
+        std::vector<outcome> outcomes;
+        m_context.restart();
+        for (const std::vector<std::string>& list : lists)
+            http::asio::co_spawn(m_context, run_list(list, time, outcomes), http::asio::detached);
+        m_context.run();
+        return outcomes;
+    }
+
+    outcome run_one(const std::string& text, std::chrono::milliseconds time = 400ms)
+    {
+        return run({{text}}, time).at(0);
+    }
+
+    stored_configuration stored()
+    {
+        base::error reason;
+        const auto& object = m_store.object(configuration_key);
+        auto result = stored_configuration_from_text(object.value, object.version, reason);
+        return result.value_or(stored_configuration{});
+    }
+
+    faulty_store& store() { return m_store; }
+    execution_context& context() { return m_execution_context; }
+
+private:
+    http::awaitable<void> run_list(std::vector<std::string> list, std::chrono::milliseconds time,
+                                   std::vector<outcome>& outcomes)
+    {
+        command_executor<faulty_store> executor(m_store, m_tokens);
+        for (const std::string& text : list)
+        {
+            outcome item{text, std::nullopt, {}};
+            item.result = co_await executor.execute(
+                text, m_execution_context, std::chrono::steady_clock::now() + time, item.reason);
+            outcomes.push_back(std::move(item));
+        }
+    }
+
+    http::asio::io_context m_context;
+    faulty_store m_store;
+    base::identifier_factory m_tokens{{"vm-1", "riga-centrs", 1ms}};
+    execution_context m_execution_context{"anna", {}};
+};
+
+} // namespace
+
+class command_executor_test : public testing::Test
+{
+protected:
+    operators m_operators{1, 0};
+};
+
+// Guards against lost or doubled changes when operators race and the platform loses answers: one
+// change is accepted for each version, all accepted changes are in force, and none of those that
+// are reported as not written is.
+RC_GTEST_PROP(command_executor_property, racing_changes_are_accepted_once_and_none_is_lost, ())
+{
+    operators all(*rc::gen::arbitrary<std::uint64_t>(), *rc::gen::inRange(0U, 50U));
+    std::vector<std::vector<std::string>> lists;
+    const int operator_count = *rc::gen::inRange(2, 5);
+    for (int number = 0; number < operator_count; ++number)
+    {
+        lists.emplace_back();
+        for (int step = 0; step < 3; ++step)
+            lists.back().push_back("create service s" + std::to_string(number) + "-" +
+                                   std::to_string(step) + " kind query");
+    }
+    const std::vector<outcome> outcomes = all.run(lists, 150ms);
+    all.store().apply_delayed();
+
+    const stored_configuration stored = all.stored();
+    std::set<std::uint64_t> versions;
+    for (const outcome& item : outcomes)
+    {
+        const std::string name = item.text.substr(15, item.text.find(" kind") - 15);
+        const bool is_in_force = stored.configuration.services.contains(name);
+        RC_LOG() << item.text << ": " << (item.result ? "accepted" : item.reason.message) << "\n";
+        if (item.result)
+        {
+            RC_ASSERT(is_in_force);
+            const Json::Value& accepted = (*item.result)["results"][0];
+            RC_ASSERT(versions.insert(accepted["version"].asUInt64()).second);
+            RC_ASSERT(accepted["version"].asUInt64() > accepted["previous_version"].asUInt64());
+        }
+        else if (item.reason.kind != base::error_kind::outcome_unknown)
+            RC_ASSERT(!is_in_force);
+    }
+    RC_ASSERT(stored.history.size() == stored.configuration.services.size());
+}
+
+// Guards against an update that overwrites the change of another operator.
+TEST_F(command_executor_test, change_to_an_old_version_is_a_conflict_that_names_both)
+{
+    ASSERT_TRUE(m_operators.run_one("create service a kind query").result);
+    const std::uint64_t first = m_operators.stored().version;
+    ASSERT_TRUE(m_operators.run_one("create service b kind query").result);
+    const std::uint64_t second = m_operators.stored().version;
+    const outcome late =
+        m_operators.run_one("expect version " + std::to_string(first) + "; drop service a");
+    EXPECT_FALSE(late.result);
+    EXPECT_EQ(late.reason.kind, base::error_kind::conflict);
+    EXPECT_NE(late.reason.message.find("for version " + std::to_string(first)), std::string::npos);
+    EXPECT_NE(late.reason.message.find("at version " + std::to_string(second)), std::string::npos);
+    EXPECT_TRUE(m_operators.run_one("expect version " + std::to_string(second) + "; drop service a")
+                    .result);
+}
+
+// Guards against "accepted" while the platform is away.
+TEST_F(command_executor_test, change_during_an_outage_is_refused_as_not_written)
+{
+    m_operators.store().set_fault_percent(100);
+    const outcome refused = m_operators.run_one("create service a kind query");
+    EXPECT_FALSE(refused.result);
+    EXPECT_EQ(refused.reason.kind, base::error_kind::unreachable);
+    EXPECT_NE(refused.reason.message.find("nothing was written"), std::string::npos);
+}
+
+// Guards against inquiries that fail during an outage although the VM knows the answer.
+TEST_F(command_executor_test, view_is_shown_during_an_outage)
+{
+    m_operators.store().set_fault_percent(100);
+    m_operators.context().current.members.push_back(
+        {"vm-1", "riga-centrs", {"10.0.0.1", 80}, "alive", 7, 3});
+    const outcome shown = m_operators.run_one("show members; show replicas; show indexes");
+    ASSERT_TRUE(shown.result);
+    EXPECT_EQ((*shown.result)["results"][0]["rows"][0][5].asUInt64(), 3U);
+}
+
+// Guards against a check that writes, and a check that passes a wrong statement.
+TEST_F(command_executor_test, check_reports_errors_and_writes_nothing)
+{
+    EXPECT_TRUE(m_operators.run_one("check { create service a kind query }").result);
+    EXPECT_EQ(m_operators.run_one("check { drop service a }").reason.kind,
+              base::error_kind::not_found);
+    EXPECT_EQ(m_operators.stored().version, 0U);
+}
+
+// Guards against an earlier document that is not the one that was in force.
+TEST_F(command_executor_test, earlier_versions_are_shown_and_compared)
+{
+    m_operators.run_one("create service a kind query; create shard s0 in a");
+    const std::string first = std::to_string(m_operators.stored().version);
+    m_operators.run_one("drop service a; create service b kind command");
+    const std::string second = std::to_string(m_operators.stored().version);
+    const outcome shown = m_operators.run_one("show configuration version " + first +
+                                              "; compare version " + second + " with " + first);
+    ASSERT_TRUE(shown.result);
+    const Json::Value& earlier = (*shown.result)["results"][0]["rows"];
+    ASSERT_EQ(earlier.size(), 2U);
+    EXPECT_EQ(earlier[1][0].asString(), "create shard s0 in a");
+    EXPECT_EQ((*shown.result)["results"][1]["rows"][0][0].asString(), "drop service b");
+    EXPECT_EQ(m_operators.run_one("show configuration version 999").reason.kind,
+              base::error_kind::not_found);
+}
+
+// Guards against a history that grows until the platform refuses the object.
+TEST_F(command_executor_test, history_stays_bounded)
+{
+    for (std::size_t index = 0; index < stored_configuration::max_record_count + 8; ++index)
+        ASSERT_TRUE(
+            m_operators.run_one("create service a" + std::to_string(index) + " kind query").result);
+    EXPECT_EQ(m_operators.stored().history.size(), stored_configuration::max_record_count);
+    EXPECT_EQ(m_operators.stored().history.back().version, m_operators.stored().version);
+}
+
+// Guards against a publication that other processes cannot read.
+TEST_F(command_executor_test, published_index_is_readable_in_the_platform)
+{
+    ASSERT_TRUE(m_operators.run_one("publish index a version 7 shards s0").result);
+    ASSERT_TRUE(m_operators.run_one("publish index a version 8 shards s0, s1 set current").result);
+    base::error reason;
+    const auto value = rpc::parse_json(m_operators.store().object("index/a").value, reason);
+    ASSERT_TRUE(value);
+    const auto state = index_state_from_json(*value, reason);
+    ASSERT_TRUE(state);
+    EXPECT_EQ(state->current, 8U);
+    EXPECT_EQ(state->versions.at(7), std::vector<std::string>{"s0"});
+}
+
+// Guards against a damaged object being replaced by an empty configuration.
+TEST_F(command_executor_test, damaged_object_is_an_error_and_is_kept)
+{
+    m_operators.store().put(configuration_key, "no json");
+    EXPECT_EQ(m_operators.run_one("create service a kind query").reason.kind,
+              base::error_kind::protocol);
+    EXPECT_EQ(m_operators.store().object(configuration_key).value, "no json");
+}
+
+} // namespace ospreystair::configuration
