Entry: Decide with the routing package, admit and dispatch commands

Cause: the thin path chose replicas at random and took no commands. Ruled out: counting in-flight requests in the entry itself, which the tracker of the routing package does with latency, ejection and drains. Change: per-query decisions, admission gate, command service with claims in the platform, and the integration harness with real processes. Conclusion: retries and hedges take only idempotent_request, so commands cannot reach them.

--- /dev/null
+++ b/programs/entry/admission_gate.hpp
@@ -0,0 +1,105 @@
+// Admits requests to services: at once below a service's concurrency limit, otherwise from a short
+// fair queue, or not at all.
+
+#ifndef OSPREYSTAIR_PROGRAMS_ENTRY_ADMISSION_GATE_HPP
+#define OSPREYSTAIR_PROGRAMS_ENTRY_ADMISSION_GATE_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+#include "admission/admission_queue.hpp"
+#include "admission/concurrency_limiter.hpp"
+#include "base/sharded_map.hpp"
+#include "configuration/document.hpp"
+#include "http/asio.hpp"
+#include "observe/metrics.hpp"
+
+namespace ospreystair::entry
+{
+
+class admission_gate;
+
+/// A place among the concurrent requests of a service; given back on destruction.
+class admission_ticket
+{
+public:
+    admission_ticket(admission_ticket&& other) noexcept;
+    admission_ticket& operator=(admission_ticket&&) = delete;
+    admission_ticket(const admission_ticket&) = delete;
+    admission_ticket& operator=(const admission_ticket&) = delete;
+    ~admission_ticket();
+
+    /// Gives the place back with a latency that counts for the limit; without it, a request says
+    /// nothing about the load.
+    void complete(base::duration latency);
+
+private:
+    friend class admission_gate;
+
+    admission_ticket(admission_gate& gate, std::string service, std::uint32_t cost);
+
+    admission_gate* m_gate;
+    std::string m_service;
+    std::uint32_t m_cost;
+};
+
+/// Thread-safe.
+class admission_gate
+{
+public:
+    admission_gate(const base::steady_clock_source& clock, observe::metrics& metrics);
+
+    /// Waits for a place until `deadline`. Fails with overloaded or timeout and says when to come
+    /// back. `cost` is the number of sub-requests that the request causes.
+    http::awaitable<std::optional<admission_ticket>> enter(const configuration::service& service,
+                                                           std::string caller, std::uint32_t cost,
+                                                           base::time_point deadline,
+                                                           base::error& reason);
+
+private:
+    friend class admission_ticket;
+
+    using limiter = admission::concurrency_limiter<base::steady_clock_source>;
+
+    struct limiter_entry
+    {
+        std::uint32_t max_concurrency = 0;
+        std::shared_ptr<limiter> value;
+    };
+
+    // A request in the queue.
+    struct waiter
+    {
+        explicit waiter(const http::asio::any_io_executor& executor) : timer(executor) {}
+        http::asio::steady_timer timer;
+        // Guarded by m_mutex.
+        bool is_admitted = false;
+        bool is_displaced = false;
+    };
+
+    std::shared_ptr<limiter> find_limiter(const std::string& service,
+                                          std::uint32_t max_concurrency);
+    std::shared_ptr<waiter> wait_in_queue(const http::asio::any_io_executor& executor,
+                                          const admission::waiting_request& request,
+                                          base::error& reason);
+    void leave(const std::string& service, std::uint32_t cost,
+               std::optional<base::duration> latency);
+    void admit_waiting();
+
+    const base::steady_clock_source& m_clock;
+    admission::admission_queue<base::steady_clock_source> m_queue;
+    base::sharded_map<std::string, limiter_entry> m_limiters;
+    std::mutex m_mutex;
+    // Guarded by m_mutex. Holds exactly the requests that are in m_queue.
+    std::map<std::uint64_t, std::shared_ptr<waiter>> m_waiters;
+    std::uint64_t m_last_id = 0;
+    observe::counter& m_queued_count;
+};
+
+} // namespace ospreystair::entry
+
+#endif
--- a/programs/entry/agent_link.cpp
+++ b/programs/entry/agent_link.cpp
@@ -15,6 +15,7 @@
 {
 
 constexpr std::chrono::milliseconds call_timeout{1000};
+constexpr std::chrono::seconds refresh_interval{1};
 constexpr int inner_protocol_version = 1;
 
 } // namespace
@@ -50,12 +51,20 @@
 
 void agent_link::run()
 {
+    base::time_point next_refresh = std::chrono::steady_clock::now();
     std::unique_lock lock(m_mutex);
     while (!m_is_stopping)
     {
         lock.unlock();
         ask_for_view();
         hand_over();
+        // Connection shares and drains change with time also when the view does not.
+        const auto view = m_views.current();
+        if (view && std::chrono::steady_clock::now() >= next_refresh)
+        {
+            m_on_view(view);
+            next_refresh = std::chrono::steady_clock::now() + refresh_interval;
+        }
         lock.lock();
         m_wake.wait_for(lock, m_interval, [this] { return m_is_stopping; });
     }
--- /dev/null
+++ b/programs/entry/command_sender.cpp
@@ -0,0 +1,152 @@
+// Decides between ran, not run and unknown from how far the one exchange came.
+
+#include "programs/entry/command_sender.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::entry
+{
+
+namespace
+{
+
+std::shared_ptr<const http::request> make_command_request(const configuration::replica& target,
+                                                          const command_request& command,
+                                                          const dispatch::claim_handle& claim,
+                                                          base::duration time_left)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(time_left);
+    auto message = std::make_shared<http::request>(http::verb::post, "/v1/command", 11);
+    message->set(http::field::host, target.address.to_text());
+    message->set("X-Request-Id", command.request_id);
+    message->set("X-Shard", command.shard->name);
+    message->set("Idempotency-Key", claim.key.text());
+    message->set("X-Deadline-Ms", std::to_string(std::max<std::int64_t>(left.count(), 1)));
+    message->body() = command.body;
+    message->prepare_payload();
+    return message;
+}
+
+bool is_true(const http::response& reply, const char* name)
+{
+    return reply[name] == "true";
+}
+
+// Only a reply to this very request says anything about it.
+dispatch::outcome outcome_of(const command_request& command, const http::response& reply)
+{
+    if (reply["X-Request-Id"] != command.request_id)
+        return dispatch::outcome::unknown;
+    if (is_true(reply, "X-Not-Run"))
+        return dispatch::outcome::not_run;
+    if (reply.result() == http::status::ok)
+        return dispatch::outcome::ran;
+    return dispatch::outcome::unknown;
+}
+
+} // namespace
+
+http::awaitable<command_result> command_sender::send(command_request command,
+                                                     dispatch::dispatch_permit permit,
+                                                     base::time_point deadline)
+{
+    base::error reason;
+    auto ready = co_await connect(*command.shard, deadline, reason);
+    if (!ready)
+    {
+        reason.message = fmt::format("not run: {}", reason.message);
+        co_return command_result{
+            dispatch::outcome::not_run, std::move(permit).consume(), {}, std::move(reason), {}};
+    }
+    co_return co_await exchange(command, std::move(permit).consume(), std::move(*ready), deadline);
+}
+
+http::awaitable<std::optional<command_sender::ready_connection>>
+command_sender::connect(const configuration::shard& shard, base::time_point deadline,
+                        base::error& reason)
+{
+    std::vector<std::string> tried;
+    while (const configuration::replica* target = m_policy.choose(shard, tried, reason))
+    {
+        tried.push_back(target->name);
+        auto pool = m_upstreams.find_pool(target->name);
+        if (!pool)
+            continue;
+        const base::time_point start = m_clock.now();
+        if (auto connection = co_await acquire_open(*pool, deadline, reason))
+            co_return ready_connection{target, std::move(pool), std::move(connection)};
+        // The failure to connect counts against the replica like any other.
+        m_policy.begin(*target);
+        m_policy.finish(*target, {query::sub_result::unreachable, {}, false, reason},
+                        m_clock.now() - start);
+    }
+    co_return std::nullopt;
+}
+
+// A kept-alive connection that the upstream has closed meanwhile would make the outcome unknown
+// for no reason, so closed ones are put aside first.
+http::awaitable<query::connection_pointer>
+command_sender::acquire_open(query::connection_pool& pool, base::time_point deadline,
+                             base::error& reason)
+{
+    const auto cancel = std::make_shared<query::cancellation>();
+    while (auto connection = co_await pool.acquire(deadline, cancel, reason))
+    {
+        if (!co_await (*connection)->is_closed_by_peer())
+            co_return std::move(*connection);
+        pool.release(std::move(*connection));
+    }
+    co_return nullptr;
+}
+
+http::awaitable<command_result> command_sender::exchange(const command_request& command,
+                                                         dispatch::claim_handle claim,
+                                                         ready_connection ready,
+                                                         base::time_point deadline)
+{
+    command_result result{dispatch::outcome::unknown, std::move(claim), {}, {}, {}};
+    const base::time_point start = m_clock.now();
+    m_policy.begin(*ready.target);
+    http::exchange_progress progress = http::exchange_progress::nothing_sent;
+    const auto message =
+        make_command_request(*ready.target, command, result.claim, deadline - start);
+    const auto reply =
+        co_await ready.connection->exchange(message, deadline, progress, result.reason);
+    ready.pool->release(std::move(ready.connection));
+
+    query::sub_reply health{query::sub_result::unreachable, {}, false, result.reason};
+    if (reply)
+    {
+        result.result = outcome_of(command, *reply);
+        result.answer = reply->body();
+        health.is_draining = is_true(*reply, "X-Draining");
+        health.result = result.result == dispatch::outcome::ran ? query::sub_result::answered
+                                                                : query::sub_result::overloaded;
+        if (result.result != dispatch::outcome::ran)
+            result.reason = {result.result == dispatch::outcome::not_run
+                                 ? base::error_kind::overloaded
+                                 : base::error_kind::outcome_unknown,
+                             fmt::format("the upstream answered with status {}; see its log",
+                                         reply->result_int()),
+                             {}};
+    }
+    else if (progress == http::exchange_progress::nothing_sent)
+        result.result = dispatch::outcome::not_run;
+    const base::duration elapsed = m_clock.now() - start;
+    m_policy.finish(*ready.target, health, elapsed);
+    result.attempts.push_back({command.shard->name,
+                               ready.target->name,
+                               query::attempt_kind::first,
+                               "claim won",
+                               {},
+                               std::chrono::duration_cast<std::chrono::microseconds>(elapsed),
+                               health.result,
+                               result.reason.message,
+                               true});
+    co_return result;
+}
+
+} // namespace ospreystair::entry
--- a/programs/entry/entry_context.hpp
+++ b/programs/entry/entry_context.hpp
@@ -10,6 +10,7 @@
 #include "http/asio.hpp"
 #include "observe/event_log.hpp"
 #include "observe/metrics.hpp"
+#include "programs/entry/admission_gate.hpp"
 #include "programs/entry/entry_policy.hpp"
 #include "programs/entry/entry_settings.hpp"
 #include "programs/entry/view_holder.hpp"
@@ -27,7 +28,7 @@
         : io(io_context), settings(checked_settings),
           log("entry", checked_settings.identity, checked_settings.level),
           identifiers(checked_settings.identity), upstreams(io_context, metrics),
-          policy(views, seed)
+          policy(clock, views, metrics, checked_settings.identity, seed), admission(clock, metrics)
     {
     }
 
@@ -41,6 +42,7 @@
     query::record_store records;
     query::upstream_client upstreams;
     entry_policy policy;
+    admission_gate admission;
     /// Off from the start of a graceful stop on.
     std::atomic<bool> is_serving{true};
 };
--- a/programs/entry/entry_policy.cpp
+++ b/programs/entry/entry_policy.cpp
@@ -1,81 +1,202 @@
-// Least loaded of two random replicas.
+// Adapter between queries and the routing package.
 
 #include "programs/entry/entry_policy.hpp"
 
-#include <algorithm>
-
-#include <fmt/format.h>
+#include <utility>
 
 namespace ospreystair::entry
 {
 
-entry_policy::entry_policy(view_holder& views, std::uint64_t seed)
-    : m_views(views), m_random_state(seed)
+namespace
+{
+
+// Hedges are off for this long after a replica of the service shed a request: more load would make
+// it shed more.
+constexpr std::chrono::milliseconds shed_memory{100};
+
+base::error_kind health_of(const query::sub_reply& reply)
+{
+    switch (reply.result)
+    {
+    case query::sub_result::answered:
+        return base::error_kind::none;
+    case query::sub_result::timeout:
+        return base::error_kind::timeout;
+    case query::sub_result::unreachable:
+    case query::sub_result::no_replica:
+        return base::error_kind::unreachable;
+    case query::sub_result::overloaded:
+        return base::error_kind::overloaded;
+    case query::sub_result::version_not_held:
+    case query::sub_result::wrong_version:
+        return base::error_kind::version_not_held;
+    case query::sub_result::wrong_shard:
+        return base::error_kind::not_found;
+    case query::sub_result::mismatched:
+    case query::sub_result::failed:
+        return base::error_kind::protocol;
+    case query::sub_result::cancelled:
+        return base::error_kind::cancelled;
+    }
+    return base::error_kind::internal;
+}
+
+} // namespace
+
+entry_policy::entry_policy(const steady_clock& clock, view_holder& views, observe::metrics& metrics,
+                           const base::process_identity& identity, std::uint64_t seed)
+    : m_clock(clock), m_views(views), m_tracker(clock), m_selector(m_tracker, identity.data_centre),
+      m_share(clock, identity.vm), m_next_seed(seed),
+      m_sub_request_count(metrics.find_counter("ospreystair_sub_requests_total")),
+      m_hedge_count(metrics.find_counter("ospreystair_hedges_total")),
+      m_retry_count(metrics.find_counter("ospreystair_retries_total"))
+{
+}
+
+void entry_policy::apply(const configuration::view& view)
+{
+    std::vector<std::string> live_vms;
+    for (const configuration::member& item : view.members)
+        if (item.is_live())
+            live_vms.push_back(item.vm);
+    m_share.update(std::move(live_vms));
+    m_tracker.update(view.configuration, view.draining);
+}
+
+std::size_t entry_policy::connection_limit(const configuration::replica& target) const
+{
+    return m_share.allowed(target);
+}
+
+std::optional<query_decisions> entry_policy::decide_for(const configuration::service& service,
+                                                        const routing::deadline_budget& deadline,
+                                                        base::error& reason)
 {
+    const auto request = routing::idempotent_request::create(service, reason);
+    if (!request)
+        return std::nullopt;
+    return query_decisions(*this, find_service(service), *request, deadline,
+                           base::mix_bits(m_next_seed.fetch_add(1)));
 }
 
-std::uint64_t entry_policy::in_flight(const std::string& replica_name) const
+std::shared_ptr<service_policy> entry_policy::find_service(const configuration::service& service)
 {
-    return m_in_flight.find(replica_name).value_or(0);
+    const auto make = [&]
+    {
+        return std::make_shared<service_policy>(m_clock, service);
+    };
+    return m_services.update(service.name, make,
+                             [&](std::shared_ptr<service_policy>& known)
+                             {
+                                 if (known->hedge_percent != service.hedge_percent ||
+                                     known->retry_percent != service.retry_percent)
+                                     known = make();
+                                 return known;
+                             });
 }
 
-const configuration::replica* entry_policy::choose(const query::pinned_snapshot& snapshot,
-                                                   const std::string& shard,
+const configuration::replica* entry_policy::choose(const configuration::shard& shard,
                                                    const std::vector<std::string>& tried,
                                                    base::error& reason)
 {
-    const auto view = m_views.current();
-    std::vector<const configuration::replica*> candidates;
-    for (const configuration::replica& item : snapshot.replicas(shard))
-        if (!view->draining.contains(item.name) &&
-            std::find(tried.begin(), tried.end(), item.name) == tried.end())
-            candidates.push_back(&item);
-    if (candidates.empty())
-    {
-        base::fail(
-            reason, base::error_kind::unreachable,
-            fmt::format("shard \"{}\" has no usable replica; add one with \"create replica\"",
-                        shard));
-        return nullptr;
-    }
-    const std::uint64_t random = base::mix_bits(m_random_state.fetch_add(1));
-    const auto* first = candidates[random % candidates.size()];
-    const auto* second = candidates[(random >> 32) % candidates.size()];
-    return in_flight(second->name) * first->slots < in_flight(first->name) * second->slots ? second
-                                                                                           : first;
+    base::request_random random(m_next_seed.fetch_add(1));
+    return m_selector.choose(shard, tried, random, reason);
 }
 
 void entry_policy::begin(const configuration::replica& target)
 {
-    m_in_flight.update(
-        target.name, [] { return std::uint64_t{0}; }, [](std::uint64_t& count) { ++count; });
+    m_sub_request_count.add();
+    m_tracker.begin(target.name);
+}
+
+void entry_policy::finish(const configuration::replica& target, const query::sub_reply& reply,
+                          base::duration elapsed)
+{
+    m_tracker.finish(target.name, health_of(reply), elapsed);
+    if (!reply.is_draining)
+        return;
+    m_tracker.mark_draining(target.name);
+    m_views.mark_draining(target.name, m_clock.now());
 }
 
-void entry_policy::finish(const configuration::service&, const configuration::replica& target,
-                          const query::sub_reply& reply, base::duration)
+query_decisions::query_decisions(entry_policy& owner, std::shared_ptr<service_policy> service,
+                                 routing::idempotent_request request,
+                                 routing::deadline_budget deadline, std::uint64_t seed)
+    : m_owner(&owner), m_service(std::move(service)), m_request(request), m_deadline(deadline),
+      m_random(seed)
 {
-    m_in_flight.update(
-        target.name, [] { return std::uint64_t{1}; }, [](std::uint64_t& count) { --count; });
-    if (reply.is_draining)
-        m_views.mark_draining(target.name, std::chrono::steady_clock::now());
 }
 
-std::optional<base::duration> entry_policy::hedge_delay(const configuration::service&)
+const configuration::replica* query_decisions::choose(const configuration::shard& shard,
+                                                      const std::vector<std::string>& tried,
+                                                      base::error& reason)
 {
-    return std::nullopt;
+    return m_owner->m_selector.choose(shard, tried, m_random, reason);
 }
 
-bool entry_policy::take_hedge(const configuration::service&)
+void query_decisions::begin(const configuration::replica& target, query::attempt_kind kind)
 {
-    return false;
+    m_owner->begin(target);
+    switch (kind)
+    {
+    case query::attempt_kind::first:
+        m_service->hedges.record_request();
+        m_service->retries.record_request();
+        break;
+    case query::attempt_kind::retry:
+        m_owner->m_retry_count.add();
+        break;
+    case query::attempt_kind::hedge:
+        m_owner->m_hedge_count.add();
+        break;
+    }
 }
 
-bool entry_policy::take_retry(const configuration::service&, const query::sub_reply& reply)
+void query_decisions::finish(const configuration::replica& target, query::attempt_kind kind,
+                             const query::sub_reply& reply, base::duration elapsed)
 {
-    return reply.result != query::sub_result::cancelled &&
-           reply.result != query::sub_result::timeout;
+    m_owner->finish(target, reply, elapsed);
+    const bool is_sample =
+        reply.result == query::sub_result::answered || reply.result == query::sub_result::cancelled;
+    if (kind == query::attempt_kind::first && is_sample)
+        m_service->hedges.record_latency(elapsed);
+    if (reply.result == query::sub_result::overloaded)
+        m_service->last_shed.store(m_owner->m_clock.now().time_since_epoch().count());
 }
 
-void entry_policy::note_sub_request(const configuration::service&) {}
+routing::hedge_situation query_decisions::situation(base::time_point sent_at,
+                                                    std::uint32_t hedge_count) const
+{
+    const base::duration since_shed =
+        m_owner->m_clock.now().time_since_epoch() - base::duration{m_service->last_shed.load()};
+    return {m_deadline, sent_at, hedge_count, since_shed < shed_memory, true};
+}
+
+std::optional<base::duration> query_decisions::hedge_delay(base::time_point sent_at,
+                                                           std::uint32_t hedge_count)
+{
+    return m_service->hedges.next_delay(m_request, situation(sent_at, hedge_count));
+}
+
+bool query_decisions::take_hedge(const configuration::shard& shard,
+                                 const std::vector<std::string>& tried, base::time_point sent_at,
+                                 std::uint32_t hedge_count)
+{
+    routing::hedge_situation now = situation(sent_at, hedge_count);
+    now.other_replica = m_owner->m_selector.has_usable(shard, tried);
+    base::error ignored;
+    return m_service->hedges.try_hedge(m_request, now, ignored);
+}
+
+bool query_decisions::take_retry(const configuration::shard& shard,
+                                 const std::vector<std::string>& tried,
+                                 const query::sub_reply& reply)
+{
+    base::error ignored;
+    const base::duration expected =
+        m_service->hedges.learnt_latency().value_or(base::duration::zero());
+    return m_service->retries.try_retry(m_request, health_of(reply), m_deadline, expected,
+                                        m_owner->m_selector.has_usable(shard, tried), ignored);
+}
 
 } // namespace ospreystair::entry
--- a/programs/entry/entry_policy.hpp
+++ b/programs/entry/entry_policy.hpp
@@ -5,6 +5,7 @@
 #define OSPREYSTAIR_PROGRAMS_ENTRY_ENTRY_POLICY_HPP
 
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -12,39 +13,116 @@
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
+#include "base/identifier.hpp"
 #include "base/random.hpp"
 #include "base/sharded_map.hpp"
+#include "observe/metrics.hpp"
 #include "programs/entry/view_holder.hpp"
-#include "query/pinned_snapshot.hpp"
+#include "query/request_record.hpp"
 #include "query/sub_request.hpp"
+#include "routing/connection_share.hpp"
+#include "routing/deadline_budget.hpp"
+#include "routing/hedge_policy.hpp"
+#include "routing/replica_selector.hpp"
+#include "routing/replica_tracker.hpp"
+#include "routing/retry_policy.hpp"
 
 namespace ospreystair::entry
 {
 
-/// Satisfies query::query_policy. Thread-safe.
+using steady_clock = base::steady_clock_source;
+
+/// The budgets and learnt latency of one service. Thread-safe.
+struct service_policy
+{
+    service_policy(const steady_clock& clock, const configuration::service& service)
+        : hedge_percent(service.hedge_percent), retry_percent(service.retry_percent),
+          hedges(clock, service.hedge_percent), retries(clock, service.retry_percent)
+    {
+    }
+
+    const std::uint32_t hedge_percent;
+    const std::uint32_t retry_percent;
+    routing::hedge_policy<steady_clock> hedges;
+    routing::retry_policy<steady_clock> retries;
+    // When a replica of the service last shed a request, in ticks of the steady clock.
+    std::atomic<base::duration::rep> last_shed{0};
+};
+
+class query_decisions;
+
+/// What the process has learnt about replicas and services. Thread-safe.
 class entry_policy
 {
 public:
-    entry_policy(view_holder& views, std::uint64_t seed);
+    entry_policy(const steady_clock& clock, view_holder& views, observe::metrics& metrics,
+                 const base::process_identity& identity, std::uint64_t seed);
 
-    const configuration::replica* choose(const query::pinned_snapshot& snapshot,
-                                         const std::string& shard,
+    /// Adopts a view: replicas, drains, and the live VMs that share connections.
+    void apply(const configuration::view& view);
+
+    /// Connections that this VM may open to a replica now.
+    std::size_t connection_limit(const configuration::replica& target) const;
+
+    /// Returns the decisions for one query; empty when the service takes commands, which must be
+    /// neither retried nor hedged.
+    std::optional<query_decisions> decide_for(const configuration::service& service,
+                                              const routing::deadline_budget& deadline,
+                                              base::error& reason);
+
+    /// Chooses a replica for a command; the caller counts it with begin() and finish().
+    const configuration::replica* choose(const configuration::shard& shard,
                                          const std::vector<std::string>& tried,
                                          base::error& reason);
     void begin(const configuration::replica& target);
-    void finish(const configuration::service& service, const configuration::replica& target,
-                const query::sub_reply& reply, base::duration elapsed);
-    std::optional<base::duration> hedge_delay(const configuration::service& service);
-    bool take_hedge(const configuration::service& service);
-    bool take_retry(const configuration::service& service, const query::sub_reply& reply);
-    void note_sub_request(const configuration::service& service);
+    void finish(const configuration::replica& target, const query::sub_reply& reply,
+                base::duration elapsed);
 
 private:
-    std::uint64_t in_flight(const std::string& replica_name) const;
+    friend class query_decisions;
+
+    std::shared_ptr<service_policy> find_service(const configuration::service& service);
 
+    const steady_clock& m_clock;
     view_holder& m_views;
-    std::atomic<std::uint64_t> m_random_state;
-    base::sharded_map<std::string, std::uint64_t> m_in_flight;
+    routing::replica_tracker<steady_clock> m_tracker;
+    routing::replica_selector<steady_clock> m_selector;
+    routing::connection_share<steady_clock> m_share;
+    base::sharded_map<std::string, std::shared_ptr<service_policy>> m_services;
+    std::atomic<std::uint64_t> m_next_seed;
+    observe::counter& m_sub_request_count;
+    observe::counter& m_hedge_count;
+    observe::counter& m_retry_count;
+};
+
+/// Satisfies query::query_policy. Used on one strand.
+class query_decisions
+{
+public:
+    query_decisions(entry_policy& owner, std::shared_ptr<service_policy> service,
+                    routing::idempotent_request request, routing::deadline_budget deadline,
+                    std::uint64_t seed);
+
+    const configuration::replica* choose(const configuration::shard& shard,
+                                         const std::vector<std::string>& tried,
+                                         base::error& reason);
+    void begin(const configuration::replica& target, query::attempt_kind kind);
+    void finish(const configuration::replica& target, query::attempt_kind kind,
+                const query::sub_reply& reply, base::duration elapsed);
+    std::optional<base::duration> hedge_delay(base::time_point sent_at, std::uint32_t hedge_count);
+    bool take_hedge(const configuration::shard& shard, const std::vector<std::string>& tried,
+                    base::time_point sent_at, std::uint32_t hedge_count);
+    bool take_retry(const configuration::shard& shard, const std::vector<std::string>& tried,
+                    const query::sub_reply& reply);
+
+private:
+    routing::hedge_situation situation(base::time_point sent_at, std::uint32_t hedge_count) const;
+
+    entry_policy* m_owner;
+    std::shared_ptr<service_policy> m_service;
+    routing::idempotent_request m_request;
+    routing::deadline_budget m_deadline;
+    base::request_random m_random;
 };
 
 } // namespace ospreystair::entry
--- a/programs/entry/entry_server.cpp
+++ b/programs/entry/entry_server.cpp
@@ -19,30 +19,25 @@
 {
 
 constexpr std::string_view services_prefix = "/v1/services/";
-// One tenth of a replica's connections is kept free for VMs that come and go.
-constexpr std::size_t usable_connections_numerator = 9;
-constexpr std::size_t usable_connections_denominator = 10;
-
-std::size_t connection_share(const configuration::replica& target, std::size_t live_vms)
-{
-    const std::size_t usable =
-        target.connections * usable_connections_numerator / usable_connections_denominator;
-    return std::max<std::size_t>(usable / live_vms, 1);
-}
-
+constexpr std::chrono::milliseconds record_check_interval{5};
 } // namespace
 
 std::optional<std::unique_ptr<entry_server>>
 entry_server::create(asio::io_context& io, const entry_settings& settings, base::error& reason)
 {
-    std::unique_ptr<entry_server> result(new entry_server(io, settings));
+    auto store = platform::http_object_store::create(io, settings.platform_addresses, reason);
+    if (!store)
+        return std::nullopt;
+    std::unique_ptr<entry_server> result(new entry_server(io, settings, std::move(*store)));
     if (!result->listen(reason))
         return std::nullopt;
     return result;
 }
 
-entry_server::entry_server(asio::io_context& io, const entry_settings& settings)
-    : m_context(io, settings, base::system_seed()), m_queries(m_context), m_operators(m_context),
+entry_server::entry_server(asio::io_context& io, const entry_settings& settings,
+                           std::unique_ptr<platform::http_object_store> store)
+    : m_context(io, settings, base::system_seed()), m_queries(m_context),
+      m_commands(m_context, std::move(store)), m_operators(m_context),
       m_agent(settings.agent_address.to_text(), settings.view_interval, m_context.views,
               m_context.records, m_context.log)
 {
@@ -96,9 +91,9 @@
 
 void entry_server::apply_view(const configuration::view& view)
 {
-    const std::size_t live_vms = view.live_member_count();
-    m_context.upstreams.apply(view, [live_vms](const configuration::replica& target)
-                              { return connection_share(target, live_vms); });
+    m_context.policy.apply(view);
+    m_context.upstreams.apply(view, [this](const configuration::replica& target)
+                              { return m_context.policy.connection_limit(target); });
 }
 
 http::awaitable<http::response>
@@ -141,8 +136,13 @@
     timer.expires_after(m_context.settings.drain_delay);
     co_await timer.async_wait(asio::use_awaitable);
     m_caller_server->stop_accepting();
-    const bool is_idle = co_await m_caller_server->wait_until_idle(m_context.clock.now() +
-                                                                   m_context.settings.stop_timeout);
+    const base::time_point give_up = m_context.clock.now() + m_context.settings.stop_timeout;
+    const bool is_idle = co_await m_caller_server->wait_until_idle(give_up);
+    while (m_commands.unrecorded_count() != 0 && m_context.clock.now() < give_up)
+    {
+        timer.expires_after(record_check_interval);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
     m_agent.stop();
     m_context.log.write(is_idle ? observe::log_level::info : observe::log_level::error,
                         "stop_drained", "", {{"cut_requests", m_caller_server->request_count()}});
--- a/programs/entry/entry_server.hpp
+++ b/programs/entry/entry_server.hpp
@@ -8,6 +8,7 @@
 
 #include "http/server.hpp"
 #include "programs/entry/agent_link.hpp"
+#include "programs/entry/command_service.hpp"
 #include "programs/entry/entry_context.hpp"
 #include "programs/entry/operator_service.hpp"
 #include "programs/entry/query_service.hpp"
@@ -27,7 +28,8 @@
     void run();
 
 private:
-    entry_server(http::asio::io_context& io, const entry_settings& settings);
+    entry_server(http::asio::io_context& io, const entry_settings& settings,
+                 std::unique_ptr<platform::http_object_store> store);
     bool listen(base::error& reason);
     http::awaitable<http::response> route(const http::request& message,
                                           std::shared_ptr<http::exchange_context> exchange);
@@ -37,6 +39,7 @@
 
     entry_context m_context;
     query_service m_queries;
+    command_service m_commands;
     operator_service m_operators;
     agent_link m_agent;
     std::shared_ptr<http::server> m_caller_server;
--- a/programs/entry/query_service.cpp
+++ b/programs/entry/query_service.cpp
@@ -43,22 +43,24 @@
     auto snapshot = query::pinned_snapshot::create(view, service_name, reason);
     if (!snapshot)
         co_return refuse(std::move(record), reason);
-    if (snapshot->service().kind != configuration::service_kind::query)
-    {
-        reason = {base::error_kind::invalid_argument,
-                  "the service takes commands; send the request to its /command path",
-                  {}};
-        co_return refuse(std::move(record), reason);
-    }
     const auto deadline = read_deadline(message, snapshot->service().deadline, reason);
     if (!deadline)
         co_return refuse(std::move(record), reason);
     record.deadline = *deadline;
 
+    // The margin of the budget leaves time for the way back to the caller.
+    const routing::deadline_budget budget(start, *deadline);
+    auto decisions = m_context.policy.decide_for(snapshot->service(), budget, reason);
+    if (!decisions)
+        co_return refuse(std::move(record), reason);
+    auto place = co_await m_context.admission.enter(
+        snapshot->service(), exchange->peer().address().to_string(),
+        static_cast<std::uint32_t>(snapshot->shards().size()), budget.end(), reason);
+    if (!place)
+        co_return refuse(std::move(record), reason);
     run_type::task task{record.request_id, std::move(*snapshot),
-                        std::make_shared<const std::string>(message.body()), start,
-                        start + *deadline};
-    auto run = co_await run_once(task, exchange);
+                        std::make_shared<const std::string>(message.body()), start, budget.end()};
+    auto run = co_await run_once(task, *decisions, exchange);
     if (run->answers().is_missing_for(query::sub_result::version_not_held) && !run->is_cancelled())
     {
         // Half of the time must be left for a second scatter to be worth its load.
@@ -68,9 +70,11 @@
             ++record.restart_count;
             m_restart_count.add();
             task.snapshot = std::move(*newer);
-            run = co_await run_once(task, exchange);
+            run = co_await run_once(task, *decisions, exchange);
         }
     }
+    if (!run->is_cancelled())
+        place->complete(m_context.clock.now() - start);
     http::response reply = make_query_answer(record.request_id, run->snapshot(), run->answers());
     record.status = static_cast<int>(reply.result_int());
     keep_record(std::move(record), *run, start);
@@ -78,10 +82,11 @@
 }
 
 http::awaitable<std::shared_ptr<query_service::run_type>>
-query_service::run_once(run_type::task task, std::shared_ptr<http::exchange_context> exchange)
+query_service::run_once(run_type::task task, query_decisions decisions,
+                        std::shared_ptr<http::exchange_context> exchange)
 {
-    auto run =
-        run_type::create(m_context.upstreams, m_context.policy, m_context.clock, std::move(task));
+    auto run = run_type::create(m_context.upstreams, std::move(decisions), m_context.clock,
+                                std::move(task));
     exchange->on_peer_gone([run] { run->cancel(); });
     co_await run->run();
     exchange->on_peer_gone(nullptr);
--- a/programs/entry/replies.cpp
+++ b/programs/entry/replies.cpp
@@ -46,11 +46,12 @@
 
 // The data centres that the configuration names for a shard, so that a caller or operator sees
 // which place is missing.
-std::string write_data_centres(const query::pinned_snapshot& snapshot, const std::string& shard)
+std::string write_data_centres(const configuration::shard* shard)
 {
     std::set<std::string> names;
-    for (const configuration::replica& item : snapshot.replicas(shard))
-        names.insert(item.data_centre);
+    if (shard != nullptr)
+        for (const configuration::replica& item : shard->replicas)
+            names.insert(item.data_centre);
     std::string text;
     for (const std::string& name : names)
         text += (text.empty() ? "" : ",") + quote(name);
@@ -90,8 +91,9 @@
 {
     std::string missing;
     std::string answered;
-    for (const auto& entry : answers.entries())
+    for (std::size_t index = 0; index < answers.shard_count(); ++index)
     {
+        const auto& entry = answers.entries()[index];
         if (entry.is_answered)
             answered += fmt::format(R"({}{{"shard":{},"answer":{}}})", answered.empty() ? "" : ",",
                                     quote(entry.shard), entry.answer);
@@ -99,7 +101,7 @@
             missing += fmt::format(R"({}{{"shard":{},"reason":"{}","data_centres":[{}]}})",
                                    missing.empty() ? "" : ",", quote(entry.shard),
                                    query::to_string(entry.missing_reason),
-                                   write_data_centres(snapshot, entry.shard));
+                                   write_data_centres(snapshot.shard_at(index)));
     }
     std::string body = fmt::format(
         R"({{"request_id":{},"snapshot":{{"service":{},"index_version":{}}},"coverage":{{"shards":{},"answered":{},"missing":[{}]}},"answers":[{}]}})"
--- a/source/base/random.hpp
+++ b/source/base/random.hpp
@@ -53,6 +53,22 @@
     return value ^ (value >> 31);
 }
 
+/// A small generator (SplitMix64) for one request: it costs nothing to seed. Not thread-safe.
+class request_random
+{
+public:
+    explicit request_random(std::uint64_t seed) : m_state(seed) {}
+
+    /// Returns a number in [0, bound); 0 when bound is 0.
+    std::uint64_t below(std::uint64_t bound)
+    {
+        return bound == 0 ? 0 : mix_bits(m_state++) % bound;
+    }
+
+private:
+    std::uint64_t m_state;
+};
+
 } // namespace ospreystair::base
 
 #endif
--- a/source/configuration/view.cpp
+++ b/source/configuration/view.cpp
@@ -2,21 +2,11 @@
 
 #include "configuration/view.hpp"
 
-#include <algorithm>
-
 #include <fmt/format.h>
 
 namespace ospreystair::configuration
 {
 
-std::size_t view::live_member_count() const
-{
-    const auto count = std::count_if(members.begin(), members.end(),
-                                     [](const member& item)
-                                     { return item.state == "alive" || item.state == "suspect"; });
-    return static_cast<std::size_t>(std::max<std::ptrdiff_t>(count, 1));
-}
-
 Json::Value to_json(const member& value)
 {
     Json::Value result;
--- a/source/configuration/view.hpp
+++ b/source/configuration/view.hpp
@@ -34,6 +34,9 @@
     std::uint64_t configuration_version = 0;
 
     bool operator==(const member&) const = default;
+
+    /// Whether the VM may be working: a suspected one is until it is declared failed.
+    bool is_live() const { return state == "alive" || state == "suspect"; }
 };
 
 /// One consistent state, as sent from agent to entry.
@@ -47,9 +50,6 @@
     std::vector<member> members;
     /// Names of replicas that receive no new work.
     std::set<std::string> draining;
-
-    /// Members that are not failed and have not left; at least 1, the VM itself.
-    std::size_t live_member_count() const;
 };
 
 Json::Value to_json(const view& value);
--- a/source/query/connection_pool.cpp
+++ b/source/query/connection_pool.cpp
@@ -62,6 +62,13 @@
                        "the replica was removed; use another replica");
             co_return std::nullopt;
         }
+        if (m_limit == 0)
+        {
+            base::fail(reason, base::error_kind::unreachable,
+                       fmt::format("this VM owns no connection to {}:{}; use another replica",
+                                   m_address.address().to_string(), m_address.port()));
+            co_return std::nullopt;
+        }
         if (connection_pointer connection = take_idle())
             co_return connection;
         if (m_open_count < m_limit)
--- a/source/query/pinned_snapshot.cpp
+++ b/source/query/pinned_snapshot.cpp
@@ -36,15 +36,24 @@
         return base::fail(reason, base::error_kind::invalid_argument,
                           fmt::format("service \"{}\" has no shards; add one with \"create shard\"",
                                       service_name));
+    result.find_shard_entries();
     result.m_view = std::move(view);
     return result;
 }
 
-const std::vector<configuration::replica>& pinned_snapshot::replicas(const std::string& shard) const
+void pinned_snapshot::find_shard_entries()
 {
-    static const std::vector<configuration::replica> none;
-    const configuration::shard* part = m_service->find_shard(shard);
-    return part == nullptr ? none : part->replicas;
+    m_shard_entries.reserve(m_shards.size());
+    const std::vector<configuration::shard>& configured = m_service->shards;
+    for (std::size_t index = 0; index < m_shards.size(); ++index)
+    {
+        // Index and configuration mostly list the shards in the same order; a search for each of
+        // 140 shards would cost more than the rest of the pinning.
+        const bool is_same_place =
+            index < configured.size() && configured[index].name == m_shards[index];
+        m_shard_entries.push_back(is_same_place ? &configured[index]
+                                                : m_service->find_shard(m_shards[index]));
+    }
 }
 
 } // namespace ospreystair::query
--- a/source/query/pinned_snapshot.hpp
+++ b/source/query/pinned_snapshot.hpp
@@ -31,18 +31,21 @@
     std::uint64_t configuration_version() const { return m_view->configuration_version; }
     /// The shards of the pinned version: the denominator of coverage.
     const std::vector<std::string>& shards() const { return m_shards; }
-    /// The replicas that the pinned configuration names for a shard; empty when it names none.
-    const std::vector<configuration::replica>& replicas(const std::string& shard) const;
+    /// The pinned configuration's entry for `shards()[index]`; null when it has none.
+    const configuration::shard* shard_at(std::size_t index) const { return m_shard_entries[index]; }
     const configuration::view& view() const { return *m_view; }
 
 private:
     pinned_snapshot() = default;
+    void find_shard_entries();
 
     // Keeps m_service alive.
     std::shared_ptr<const configuration::view> m_view;
     const configuration::service* m_service = nullptr;
     std::uint64_t m_index_version = 0;
     std::vector<std::string> m_shards;
+    // Parallel to m_shards; points into m_view.
+    std::vector<const configuration::shard*> m_shard_entries;
 };
 
 } // namespace ospreystair::query
--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -34,28 +34,31 @@
         } -> std::same_as<http::awaitable<sub_reply>>;
 };
 
-/// Decides where sub-requests go and whether to send more than one for a shard. Thread-safe.
+/// The decisions for one query: where sub-requests go and whether to send more than one for a
+/// shard. Used on the query's strand.
 template<class Policy>
-concept query_policy = requires(Policy& policy, const pinned_snapshot& snapshot,
-                                const std::string& shard, const std::vector<std::string>& tried,
-                                const configuration::replica& target, const sub_reply& reply,
-                                base::duration elapsed, base::error& reason)
+concept query_policy = requires(Policy& policy, const configuration::shard& shard,
+                                const std::vector<std::string>& tried,
+                                const configuration::replica& target, attempt_kind kind,
+                                const sub_reply& reply, base::time_point sent_at,
+                                base::duration elapsed, std::uint32_t hedge_count,
+                                base::error& reason)
 {
     {
-        policy.choose(snapshot, shard, tried, reason)
+        policy.choose(shard, tried, reason)
         } -> std::same_as<const configuration::replica*>;
-    policy.begin(target);
-    policy.finish(snapshot.service(), target, reply, elapsed);
+    policy.begin(target, kind);
+    policy.finish(target, kind, reply, elapsed);
+    // Time from now until a hedge is due; empty when there will be none.
     {
-        policy.hedge_delay(snapshot.service())
+        policy.hedge_delay(sent_at, hedge_count)
         } -> std::same_as<std::optional<base::duration>>;
     {
-        policy.take_hedge(snapshot.service())
+        policy.take_hedge(shard, tried, sent_at, hedge_count)
         } -> std::same_as<bool>;
     {
-        policy.take_retry(snapshot.service(), reply)
+        policy.take_retry(shard, tried, reply)
         } -> std::same_as<bool>;
-    policy.note_sub_request(snapshot.service());
 };
 
 /// Runs on one strand; all members are used there.
@@ -73,10 +76,11 @@
         base::time_point deadline;
     };
 
-    static std::shared_ptr<query_run> create(Upstream& upstream, Policy& policy, const Clock& clock,
+    static std::shared_ptr<query_run> create(Upstream& upstream, Policy policy, const Clock& clock,
                                              task work)
     {
-        return std::shared_ptr<query_run>(new query_run(upstream, policy, clock, std::move(work)));
+        return std::shared_ptr<query_run>(
+            new query_run(upstream, std::move(policy), clock, std::move(work)));
     }
 
     /// Completes when all shards have answered or failed for good, at the deadline, or after
@@ -135,9 +139,9 @@
         http::asio::steady_timer changed;
     };
 
-    query_run(Upstream& upstream, Policy& policy, const Clock& clock, task work)
-        : m_upstream(upstream), m_policy(policy), m_clock(clock), m_work(std::move(work)),
-          m_answers(m_work.snapshot.shards())
+    query_run(Upstream& upstream, Policy policy, const Clock& clock, task work)
+        : m_upstream(upstream), m_policy(std::move(policy)), m_clock(clock),
+          m_work(std::move(work)), m_answers(m_work.snapshot.shards())
     {
     }
 
@@ -189,29 +193,25 @@
     // left.
     http::awaitable<void> follow_attempts(std::size_t index, std::shared_ptr<shard_state> state)
     {
+        const base::time_point sent_at = m_clock.now();
+        std::uint32_t hedge_count = 0;
         bool may_hedge = true;
-        const base::time_point first_start = m_clock.now();
         while (!state->active.empty() && !m_is_stopped)
         {
             const auto delay =
-                may_hedge ? m_policy.hedge_delay(m_work.snapshot.service()) : std::nullopt;
+                may_hedge ? m_policy.hedge_delay(sent_at, hedge_count) : std::nullopt;
             const base::time_point hedge_time =
-                delay ? first_start + *delay : base::time_point::max();
+                delay ? m_clock.now() + *delay : base::time_point::max();
             state->changed.expires_at(std::min(hedge_time, m_work.deadline));
             boost::system::error_code code;
             co_await state->changed.async_wait(
                 http::asio::redirect_error(http::asio::use_awaitable, code));
-            if (m_is_stopped)
-                co_return;
-            if (collect_replies(index, state))
-                co_return;
-            if (may_hedge && m_clock.now() >= hedge_time)
-            {
-                may_hedge = false;
-                start_hedge(index, state);
-            }
-            if (m_clock.now() >= m_work.deadline)
+            if (m_is_stopped || collect_replies(index, state) || m_clock.now() >= m_work.deadline)
                 co_return;
+            if (m_clock.now() < hedge_time)
+                continue;
+            may_hedge = start_hedge(index, state, sent_at, hedge_count);
+            ++hedge_count;
         }
     }
 
@@ -241,20 +241,18 @@
     void start_retry(std::size_t index, const std::shared_ptr<shard_state>& state,
                      const sub_reply& reply)
     {
-        base::error reason;
-        if (m_policy.choose(m_work.snapshot, shard_name(index), state->tried, reason) &&
-            m_policy.take_retry(m_work.snapshot.service(), reply))
+        if (m_policy.take_retry(*m_work.snapshot.shard_at(index), state->tried, reply))
             start_attempt(index, state, attempt_kind::retry, std::string(to_string(reply.result)));
     }
 
-    void start_hedge(std::size_t index, const std::shared_ptr<shard_state>& state)
+    // Returns whether a hedge was sent.
+    bool start_hedge(std::size_t index, const std::shared_ptr<shard_state>& state,
+                     base::time_point sent_at, std::uint32_t hedge_count)
     {
-        base::error reason;
-        if (state->active.size() != 1 ||
-            !m_policy.choose(m_work.snapshot, shard_name(index), state->tried, reason) ||
-            !m_policy.take_hedge(m_work.snapshot.service()))
-            return;
-        start_attempt(index, state, attempt_kind::hedge, "slower than the learnt percentile");
+        return m_policy.take_hedge(*m_work.snapshot.shard_at(index), state->tried, sent_at,
+                                   hedge_count) &&
+               start_attempt(index, state, attempt_kind::hedge,
+                             "slower than the learnt percentile");
     }
 
     const std::string& shard_name(std::size_t index) const
@@ -267,15 +265,15 @@
                        attempt_kind kind, std::string why)
     {
         base::error reason;
+        const configuration::shard* shard = m_work.snapshot.shard_at(index);
         const configuration::replica* target =
-            m_policy.choose(m_work.snapshot, shard_name(index), state->tried, reason);
+            shard == nullptr ? nullptr : m_policy.choose(*shard, state->tried, reason);
         if (target == nullptr)
         {
             if (kind == attempt_kind::first)
                 m_answers.add_failure(index, sub_result::no_replica);
             return false;
         }
-        m_policy.note_sub_request(m_work.snapshot.service());
         state->tried.push_back(target->name);
         m_attempts.push_back({shard_name(index),
                               target->name,
@@ -304,12 +302,12 @@
                                       std::shared_ptr<attempt> item, sub_request message)
     {
         const auto self = this->shared_from_this();
-        m_policy.begin(*item->target);
+        m_policy.begin(*item->target, item->record->kind);
         const base::time_point start = m_clock.now();
         sub_reply reply =
             co_await m_upstream.send(*item->target, message, m_work.deadline, item->cancel);
         const base::duration taken = m_clock.now() - start;
-        m_policy.finish(m_work.snapshot.service(), *item->target, reply, taken);
+        m_policy.finish(*item->target, item->record->kind, reply, taken);
         item->record->elapsed = std::chrono::duration_cast<std::chrono::microseconds>(taken);
         item->record->result = reply.result;
         item->record->error = reply.reason.message;
@@ -335,7 +333,7 @@
     }
 
     Upstream& m_upstream;
-    Policy& m_policy;
+    Policy m_policy;
     const Clock& m_clock;
     const task m_work;
     gathered_answers m_answers;
--- /dev/null
+++ b/tests/integration/test_client.hpp
@@ -0,0 +1,66 @@
+// A blocking HTTP client for tests.
+
+#ifndef OSPREYSTAIR_TESTS_INTEGRATION_TEST_CLIENT_HPP
+#define OSPREYSTAIR_TESTS_INTEGRATION_TEST_CLIENT_HPP
+
+#include <chrono>
+#include <map>
+#include <string>
+
+#include <json/json.h>
+
+namespace ospreystair::testing_support
+{
+
+/// An answer; `status` is 0 when none came.
+struct test_reply
+{
+    int status = 0;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    std::chrono::milliseconds elapsed{0};
+
+    /// The body as JSON; null when it is not.
+    Json::Value json() const;
+    std::string header(const std::string& name) const;
+};
+
+/// What to send.
+struct test_request
+{
+    std::string method = "GET";
+    std::string path;
+    std::map<std::string, std::string> headers;
+    std::string body;
+    std::chrono::milliseconds timeout{5000};
+};
+
+/// Sends one request on a new connection to 127.0.0.1.
+test_reply send_request(int port, const test_request& request);
+
+/// Checks a condition every 10 ms; returns whether it became true within the limit.
+template<class Condition>
+bool wait_until(std::chrono::milliseconds limit, Condition condition);
+
+/// Returns a fresh idempotency key; `suffix` makes keys of one second differ.
+std::string make_key(const std::string& suffix);
+
+void sleep_for(std::chrono::milliseconds time);
+
+template<class Condition>
+bool wait_until(std::chrono::milliseconds limit, Condition condition)
+{
+    constexpr std::chrono::milliseconds interval{10};
+    const auto end = std::chrono::steady_clock::now() + limit;
+    while (!condition())
+    {
+        if (std::chrono::steady_clock::now() >= end)
+            return false;
+        sleep_for(interval);
+    }
+    return true;
+}
+
+} // namespace ospreystair::testing_support
+
+#endif
