Dispatch: Test refused repeats of unresolved writes and keys that age out

Two deliberate faults in the ledger passed the tests: forgetting an unresolved write when the object is unchanged, and skipping the second age check. Both are now caught, and attempts of the property start at different times.

--- a/source/dispatch/claim_ledger.hpp
+++ b/source/dispatch/claim_ledger.hpp
@@ -296,6 +296,7 @@
     {
         shard& part = shard_of(item->bucket);
         const std::scoped_lock lock(part.mutex);
+        reason = {};
         if (item->state == operation_state::earlier)
             return claim_result{std::nullopt, item->earlier};
         if (item->state == operation_state::failed)
@@ -320,7 +321,8 @@
             release_later(*position->second, *item);
             ensure_running(item->bucket, position->second);
         }
-        reason = timeout_reason(*item);
+        if (reason.kind == base::error_kind::none)
+            reason = timeout_reason(*item);
         return std::nullopt;
     }
 
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -309,12 +309,20 @@
     }
 
     void start(std::size_t ledger, int number, std::chrono::milliseconds time,
-               std::optional<outcome> result = std::nullopt)
+               std::optional<outcome> result = std::nullopt, std::chrono::milliseconds delay = 0ms)
     {
-        http::asio::co_spawn(m_context, attempt(ledger, number, time, result),
+        http::asio::co_spawn(m_context, attempt_after(delay, ledger, number, time, result),
                              http::asio::detached);
     }
 
+    http::awaitable<void> attempt_after(std::chrono::milliseconds delay, std::size_t ledger,
+                                        int number, std::chrono::milliseconds time,
+                                        std::optional<outcome> result)
+    {
+        co_await pause(delay);
+        co_await attempt(ledger, number, time, result);
+    }
+
     void run(int thread_count = 1)
     {
         std::vector<std::thread> threads;
@@ -349,12 +357,13 @@
     const int rounds = *rc::gen::inRange(1, 4);
     for (int round = 0; round < rounds; ++round)
     {
-        const int attempts = *rc::gen::inRange(1, 12);
+        const int attempts = *rc::gen::inRange(1, 30);
         for (int index = 0; index < attempts; ++index)
             start(*rc::gen::inRange<std::size_t>(0, 3), *rc::gen::inRange(0, key_count),
                   std::chrono::milliseconds{*rc::gen::element(1, 3, 8, 20)},
                   *rc::gen::element<std::optional<outcome>>(std::nullopt, outcome::ran,
-                                                            outcome::not_run, outcome::unknown));
+                                                            outcome::not_run, outcome::unknown),
+                  std::chrono::milliseconds{*rc::gen::inRange(0, 8)});
         run();
     }
     RC_ASSERT(!m_has_run_twice.load());
@@ -394,6 +403,33 @@
     EXPECT_EQ(m_tallies[0].earlier, 1);
 }
 
+// Guards against giving a claim up as not stored while its unanswered write can still take effect,
+// which would leave the key blocked although the caller was told that it may repeat.
+TEST_F(claim_ledger_test, refusal_of_a_repeated_write_leaves_the_first_one_unresolved)
+{
+    m_store.set_faults({fault::none, fault::apply_late, fault::none, fault::refuse});
+    start(0, 0, 1000ms);
+    run();
+    EXPECT_EQ(m_tallies[0].won, 1);
+}
+
+// Guards against a VM that was paused for a day between the check of a key and the end of its
+// claim.
+TEST_F(claim_ledger_test, claim_whose_key_aged_out_meanwhile_gives_no_permit)
+{
+    m_store.set_faults({fault::none, fault::delay});
+    start(0, 0, 1000ms);
+    const auto pass_a_day = [this]() -> http::awaitable<void>
+    {
+        co_await pause(1ms);
+        m_clock.offset = 25h;
+    };
+    http::asio::co_spawn(m_context, pass_a_day, http::asio::detached);
+    run();
+    EXPECT_EQ(m_tallies[0].failed, 1);
+    EXPECT_EQ(m_tallies[0].won, 0);
+}
+
 // Guards against a key that stays blocked after its command was given back as not run.
 TEST_F(claim_ledger_test, key_released_as_not_run_can_be_claimed_again)
 {
