--- a/standins/fault_proxy/udp_route.cpp
+++ b/standins/fault_proxy/udp_route.cpp
@@ -83,7 +83,7 @@
     if (position != m_sessions.end())
         return position->second;
     boost::system::error_code code;
-    const auto socket = std::make_shared<udp::socket>(m_context);
+    auto socket = std::make_shared<udp::socket>(m_context);
     socket->open(m_target.protocol(), code);
     if (!code)
         socket->bind(endpoint(m_target.protocol(), 0), code);
