Entry: Pass aggregates to coroutines by reference

Cause: a command with a body of fewer than 16 bytes crashed the entry. Ruled out: a double use of the permit and a data race; the address sanitizer shows a string that points into another place of the same coroutine frame. Change: coroutine parameters that are aggregates are references. Measured: whole_path_test.command_repeated_at_another_vm_runs_once still fails; the same happens to local aggregates.

--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-http::awaitable<command_result> command_sender::send(command_request command,
+http::awaitable<command_result> command_sender::send(const command_request& command,
                                                      dispatch::dispatch_permit permit,
                                                      base::time_point deadline)
 {
@@ -61,7 +61,8 @@
         co_return command_result{
             dispatch::outcome::not_run, std::move(permit).consume(), {}, std::move(reason), {}};
     }
-    co_return co_await exchange(command, std::move(permit).consume(), std::move(*ready), deadline);
+    dispatch::claim_handle claim = std::move(permit).consume();
+    co_return co_await exchange(command, std::move(claim), *ready, deadline);
 }
 
 http::awaitable<std::optional<command_sender::ready_connection>>
@@ -77,7 +78,10 @@
             continue;
         const base::time_point start = m_clock.now();
         if (auto connection = co_await acquire_open(*pool, deadline, reason))
-            co_return ready_connection{target, std::move(pool), std::move(connection)};
+        {
+            ready_connection ready{target, std::move(pool), std::move(connection)};
+            co_return ready;
+        }
         // The failure to connect counts against the replica like any other.
         m_policy.begin(*target);
         m_policy.finish(*target, {query::sub_result::unreachable, {}, false, reason},
@@ -93,18 +97,21 @@
                              base::error& reason)
 {
     const auto cancel = std::make_shared<query::cancellation>();
-    while (auto connection = co_await pool.acquire(deadline, cancel, reason))
+    for (;;)
     {
-        if (!co_await (*connection)->is_closed_by_peer())
-            co_return std::move(*connection);
-        pool.release(std::move(*connection));
+        const auto connection = co_await pool.acquire(deadline, cancel, reason);
+        if (!connection)
+            co_return nullptr;
+        const bool is_closed = co_await (*connection)->is_closed_by_peer();
+        if (!is_closed)
+            co_return *connection;
+        pool.release(*connection);
     }
-    co_return nullptr;
 }
 
 http::awaitable<command_result> command_sender::exchange(const command_request& command,
                                                          dispatch::claim_handle claim,
-                                                         ready_connection ready,
+                                                         const ready_connection& ready,
                                                          base::time_point deadline)
 {
     command_result result{dispatch::outcome::unknown, std::move(claim), {}, {}, {}};
@@ -115,7 +122,7 @@
         make_command_request(*ready.target, command, result.claim, deadline - start);
     const auto reply =
         co_await ready.connection->exchange(message, deadline, progress, result.reason);
-    ready.pool->release(std::move(ready.connection));
+    ready.pool->release(ready.connection);
 
     query::sub_reply health{query::sub_result::unreachable, {}, false, result.reason};
     if (reply)
--- a/programs/entry/command_sender.hpp
+++ b/programs/entry/command_sender.hpp
@@ -26,6 +26,9 @@
     const configuration::shard* shard = nullptr;
 };
 
+// Coroutines take aggregates by reference: GCC 12 copies an aggregate parameter of a coroutine bit
+// by bit, and both copies are destroyed.
+
 /// How a command ended. `claim` names the claim that its outcome belongs to.
 struct command_result
 {
@@ -48,7 +51,9 @@
 
     /// Uses the permit up. Looks for an open connection to any usable replica of the shard, which
     /// sends nothing, and then writes the command to exactly one.
-    http::awaitable<command_result> send(command_request command, dispatch::dispatch_permit permit,
+    /// `command` must live until the end.
+    http::awaitable<command_result> send(const command_request& command,
+                                         dispatch::dispatch_permit permit,
                                          base::time_point deadline);
 
 private:
@@ -65,7 +70,8 @@
     http::awaitable<query::connection_pointer>
     acquire_open(query::connection_pool& pool, base::time_point deadline, base::error& reason);
     http::awaitable<command_result> exchange(const command_request& command,
-                                             dispatch::claim_handle claim, ready_connection ready,
+                                             dispatch::claim_handle claim,
+                                             const ready_connection& ready,
                                              base::time_point deadline);
 
     query::upstream_client& m_upstreams;
--- a/programs/entry/entry_server.cpp
+++ b/programs/entry/entry_server.cpp
@@ -112,6 +112,8 @@
     const std::string service_name(rest.substr(0, slash));
     if (action == "query")
         co_return co_await m_queries.answer(service_name, message, std::move(exchange));
+    if (action == "command")
+        co_return co_await m_commands.answer(service_name, message, std::move(exchange));
     co_return make_refusal("", {base::error_kind::not_found,
                                 "no such path; use POST /v1/services/<service>/query or /command",
                                 {}});
--- a/programs/entry/query_service.cpp
+++ b/programs/entry/query_service.cpp
@@ -82,11 +82,10 @@
 }
 
 http::awaitable<std::shared_ptr<query_service::run_type>>
-query_service::run_once(run_type::task task, query_decisions decisions,
+query_service::run_once(const run_type::task& task, query_decisions decisions,
                         std::shared_ptr<http::exchange_context> exchange)
 {
-    auto run = run_type::create(m_context.upstreams, std::move(decisions), m_context.clock,
-                                std::move(task));
+    auto run = run_type::create(m_context.upstreams, std::move(decisions), m_context.clock, task);
     exchange->on_peer_gone([run] { run->cancel(); });
     co_await run->run();
     exchange->on_peer_gone(nullptr);
--- a/programs/entry/query_service.hpp
+++ b/programs/entry/query_service.hpp
@@ -28,7 +28,7 @@
         query::query_run<query::upstream_client, query_decisions, base::steady_clock_source>;
 
     http::awaitable<std::shared_ptr<run_type>>
-    run_once(run_type::task task, query_decisions decisions,
+    run_once(const run_type::task& task, query_decisions decisions,
              std::shared_ptr<http::exchange_context> exchange);
     http::awaitable<std::optional<query::pinned_snapshot>>
     find_newer_snapshot(const query::pinned_snapshot& old, base::time_point give_up);
--- a/source/dispatch/dispatch_permit.hpp
+++ b/source/dispatch/dispatch_permit.hpp
@@ -15,6 +15,12 @@
 /// Names a won claim, for recording its outcome. Gives no permission to send.
 struct claim_handle
 {
+    // GCC 12 copies aggregate parameters of coroutines bit by bit; a constructor prevents it.
+    claim_handle(idempotency_key claim_key, std::string attempt_token)
+        : key(std::move(claim_key)), token(std::move(attempt_token))
+    {
+    }
+
     idempotency_key key;
     std::string token;
 };
--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -288,24 +288,26 @@
         item->record = &m_attempts.back();
         item->target = target;
         state->active.push_back(item);
-        sub_request message{m_work.request_id, static_cast<std::uint32_t>(m_attempts.size()),
-                            shard_name(index), m_work.snapshot.index_version(), m_work.body};
+        const auto message = std::make_shared<const sub_request>(
+            sub_request{m_work.request_id, static_cast<std::uint32_t>(m_attempts.size()),
+                        shard_name(index), m_work.snapshot.index_version(), m_work.body});
         http::asio::co_spawn(
             state->changed.get_executor(),
-            [self = this->shared_from_this(), state, item, message = std::move(message)]() mutable
-            { return self->run_attempt(state, item, std::move(message)); },
+            [self = this->shared_from_this(), state, item, message]
+            { return self->run_attempt(state, item, message); },
             http::asio::detached);
         return true;
     }
 
     http::awaitable<void> run_attempt(std::shared_ptr<shard_state> state,
-                                      std::shared_ptr<attempt> item, sub_request message)
+                                      std::shared_ptr<attempt> item,
+                                      std::shared_ptr<const sub_request> message)
     {
         const auto self = this->shared_from_this();
         m_policy.begin(*item->target, item->record->kind);
         const base::time_point start = m_clock.now();
         sub_reply reply =
-            co_await m_upstream.send(*item->target, message, m_work.deadline, item->cancel);
+            co_await m_upstream.send(*item->target, *message, m_work.deadline, item->cancel);
         const base::duration taken = m_clock.now() - start;
         m_policy.finish(*item->target, item->record->kind, reply, taken);
         item->record->elapsed = std::chrono::duration_cast<std::chrono::microseconds>(taken);
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -145,11 +145,11 @@
     base::error reason;
     auto connection = co_await pool->acquire(deadline, cancel, reason);
     if (!connection)
-        co_return sub_reply{to_result(reason.kind), {}, false, reason};
+        co_return make_failure(to_result(reason.kind), reason.kind, reason.message);
     if (cancel->is_cancelled())
     {
         pool->release(std::move(*connection));
-        co_return sub_reply{};
+        co_return make_failure(sub_result::cancelled, base::error_kind::cancelled, {});
     }
     // Closing is the cancellation that upstreams accept, and it keeps a late reply from reaching
     // the next request on this connection.
@@ -162,10 +162,9 @@
     if (!reply)
     {
         pool->release(std::move(*connection));
-        co_return sub_reply{cancel->is_cancelled() ? sub_result::cancelled : to_result(reason.kind),
-                            {},
-                            false,
-                            reason};
+        co_return make_failure(cancel->is_cancelled() ? sub_result::cancelled
+                                                      : to_result(reason.kind),
+                               reason.kind, reason.message);
     }
     sub_reply result = check_reply(message, *reply);
     // After a reply that belongs to another request nothing on this connection can be trusted.
--- a/tests/integration/test_client.hpp
+++ b/tests/integration/test_client.hpp
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <map>
 #include <string>
+#include <utility>
 
 #include <json/json.h>
 
@@ -35,6 +36,14 @@
     std::chrono::milliseconds timeout{5000};
 };
 
+/// Makes a GET request.
+inline test_request get(std::string path)
+{
+    test_request request;
+    request.path = std::move(path);
+    return request;
+}
+
 /// Sends one request on a new connection to 127.0.0.1.
 test_reply send_request(int port, const test_request& request);
 
