Admission: Refuse hopeless requests early and keep counts on a changed bound

Cause: a waiting request that could no longer be met was refused at its deadline, and an entry that replaces the limiter after a configuration change loses the count of requests in flight.

Change: admission_queue::take_hopeless and concurrency_limiter::set_max_concurrency, with tests.

Conclusion: admission_test passes; the entry does not call them yet.

--- a/source/admission/admission_queue.hpp
+++ b/source/admission/admission_queue.hpp
@@ -112,19 +112,28 @@
     {
         const std::scoped_lock lock(m_mutex);
         const base::time_point now = m_clock.now();
-        std::vector<std::uint64_t> expired;
-        for (auto& [name, service] : m_services)
-            for (auto caller = service.callers.begin(); caller != service.callers.end();)
+        return take_if([now](const waiting_request& each, std::uint64_t)
+                       { return each.deadline <= now; });
+    }
+
+    /// As `take_expired`, and also takes requests whose deadline can't be met any more because the
+    /// drain rate has fallen since they were queued. Call it regularly, so that they are refused
+    /// before their deadline rather than at it.
+    std::vector<std::uint64_t> take_hopeless()
+    {
+        const std::scoped_lock lock(m_mutex);
+        const base::time_point now = m_clock.now();
+        const double rate = drain_rate(now);
+        std::size_t flows = 0;
+        for (const auto& [name, service] : m_services)
+            flows += service.callers.size();
+        const std::uint64_t total = m_cost;
+        return take_if(
+            [=](const waiting_request& each, std::uint64_t own_cost)
             {
-                auto& requests = caller->second.requests;
-                while (!requests.empty() && requests.begin()->second.deadline <= now)
-                {
-                    expired.push_back(requests.begin()->second.id);
-                    drop(requests, requests.begin());
-                }
-                caller = requests.empty() ? forget_caller(service, caller) : std::next(caller);
-            }
-        return expired;
+                return each.deadline <= now ||
+                       now + time_to_drain(own_cost, flows, total, rate) > each.deadline;
+            });
     }
 
     /// Records that admitted work of this cost has completed; gives the drain rate.
@@ -272,7 +281,7 @@
     base::duration expected_wait(const waiting_request& request, base::time_point now)
     {
         const double rate = drain_rate(now);
-        if (rate < 1e-3 || m_size == 0)
+        if (rate < lowest_rate || m_size == 0)
             return base::duration{0};
         std::uint64_t own = request.cost;
         std::size_t flows = 1;
@@ -288,17 +297,53 @@
                     if (deadline <= request.deadline)
                         own += waiting.cost;
             }
-        const double ahead = std::min(static_cast<double>(m_cost + request.cost),
+        return time_to_drain(own, flows, m_cost + request.cost, rate);
+    }
+
+    /// Time for `own` units of one of `flows` callers that share the drain rate equally.
+    static base::duration time_to_drain(std::uint64_t own, std::size_t flows, std::uint64_t total,
+                                        double rate)
+    {
+        if (rate < lowest_rate)
+            return base::duration{0};
+        const double ahead = std::min(static_cast<double>(total),
                                       static_cast<double>(own) * static_cast<double>(flows));
         return std::chrono::duration_cast<base::duration>(
             std::chrono::duration<double>(std::min(ahead / rate, longest_wait_s)));
     }
 
+    /// Removes the requests for which `is_taken` holds; its second argument is the cost of the
+    /// caller's requests that stay, up to and with this one.
+    template<class IsTaken>
+    std::vector<std::uint64_t> take_if(IsTaken is_taken)
+    {
+        std::vector<std::uint64_t> taken;
+        for (auto& [name, service] : m_services)
+            for (auto caller = service.callers.begin(); caller != service.callers.end();)
+            {
+                auto& requests = caller->second.requests;
+                std::uint64_t cost = 0;
+                for (auto each = requests.begin(); each != requests.end();)
+                {
+                    const auto current = each++;
+                    if (is_taken(current->second, cost + current->second.cost))
+                    {
+                        taken.push_back(current->second.id);
+                        drop(requests, current);
+                    }
+                    else
+                        cost += current->second.cost;
+                }
+                caller = requests.empty() ? forget_caller(service, caller) : std::next(caller);
+            }
+        return taken;
+    }
+
     std::chrono::milliseconds retry_after_locked(base::time_point now)
     {
         const double rate = drain_rate(now);
         const double seconds =
-            rate < 1e-3 ? longest_wait_s : std::min(longest_wait_s, (m_cost + 1.0) / rate);
+            rate < lowest_rate ? longest_wait_s : std::min(longest_wait_s, (m_cost + 1.0) / rate);
         return std::clamp(std::chrono::milliseconds{static_cast<std::int64_t>(seconds * 1000)},
                           m_settings.shortest_retry_after, m_settings.longest_retry_after);
     }
@@ -315,6 +360,8 @@
 
     // Beyond this an estimate says only "too long".
     static constexpr double longest_wait_s = 3600;
+    // Units per second below which the drain rate counts as unknown.
+    static constexpr double lowest_rate = 1e-3;
 
     const Clock& m_clock;
     queue_settings m_settings;
--- a/source/admission/concurrency_limiter.hpp
+++ b/source/admission/concurrency_limiter.hpp
@@ -72,6 +72,18 @@
         give_back();
     }
 
+    /// Adopts a changed configuration. Requests in flight stay counted, which a new limiter would
+    /// not know of.
+    void set_max_concurrency(std::uint32_t max_concurrency)
+    {
+        const std::scoped_lock lock(m_mutex);
+        // A limit that was at its bound follows it; one that was lowered by latency is kept.
+        const bool is_at_bound = limit_locked() == m_settings.max_concurrency;
+        m_settings.max_concurrency = max_concurrency;
+        m_limit = is_at_bound ? max_concurrency : std::min<double>(m_limit, max_concurrency);
+        m_limit_before = 0;
+    }
+
     std::uint32_t limit() const
     {
         const std::scoped_lock lock(m_mutex);
--- a/source/routing/hedge_policy.hpp
+++ b/source/routing/hedge_policy.hpp
@@ -42,7 +42,8 @@
     /// Call once for each sub-request when its first attempt is sent.
     void record_request() { m_budget.record_request(); }
 
-    /// Call once for each first attempt that was answered or was cancelled for a faster hedge.
+    /// Call once for each first attempt that was answered, timed out or was cancelled for a faster
+    /// hedge; not for one that was cancelled early because its caller left.
     void record_latency(base::duration latency) { m_latency.record(latency); }
 
     /// The learnt 95th percentile, if enough is known.
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -86,6 +86,19 @@
     EXPECT_EQ(m_limiter.limit(), 256U);
 }
 
+// Guards against requests in flight that a changed configuration forgets.
+TEST_F(concurrency_limiter_test, changed_bound_keeps_the_requests_in_flight)
+{
+    for (int count = 0; count < 10; ++count)
+        ASSERT_TRUE(m_limiter.try_acquire());
+    m_limiter.set_max_concurrency(8);
+    EXPECT_FALSE(m_limiter.try_acquire());
+    EXPECT_EQ(m_limiter.in_flight(), 10U);
+    m_limiter.set_max_concurrency(11);
+    EXPECT_TRUE(m_limiter.try_acquire());
+    EXPECT_FALSE(m_limiter.try_acquire());
+}
+
 // Guards against limits outside of the configured ones, for any latencies.
 RC_GTEST_FIXTURE_PROP(concurrency_limiter_test, limit_stays_between_its_bounds, ())
 {
@@ -251,6 +264,19 @@
     EXPECT_EQ(m_queue.size(), 0U);
 }
 
+// Guards against a refusal that comes at the deadline although it was certain long before.
+TEST_F(admission_queue_test, request_is_hopeless_once_the_drain_rate_has_fallen)
+{
+    drain(200);
+    ASSERT_TRUE(add("search", "a", 20, 10s));
+    ASSERT_TRUE(add("search", "a", 20, 12s));
+    EXPECT_TRUE(m_queue.take_hopeless().empty());
+    m_clock.advance(8s);
+    // About 3.7 units/s are left of the rate, so that 20 units take about 5.5 s.
+    EXPECT_EQ(m_queue.take_hopeless(), (std::vector<std::uint64_t>{1, 2}));
+    EXPECT_EQ(m_queue.size(), 0U);
+}
+
 // Guards against requests that are lost or answered twice: each is run, displaced, expired or
 // refused exactly once, and the queue never exceeds its capacity.
 RC_GTEST_FIXTURE_PROP(admission_queue_test, every_request_leaves_exactly_once, ())
@@ -280,7 +306,8 @@
         else
         {
             m_clock.advance(step * 1ms);
-            for (const std::uint64_t id : m_queue.take_expired())
+            for (const std::uint64_t id :
+                 step % 2 ? m_queue.take_expired() : m_queue.take_hopeless())
                 leaves(id);
         }
         RC_ASSERT(m_queue.size() == waiting.size());
