Admission: Measure the drain rate only while requests wait

Cause: the rate decayed in quiet periods, so that the next burst's second request was refused as hopeless (15 s after 200 units/s) and a Retry-After was far too long.

Change: completions and time count only while the queue is not empty.

Conclusion: the new test fails on the earlier code and passes now.

--- a/source/admission/admission_queue.hpp
+++ b/source/admission/admission_queue.hpp
@@ -86,6 +86,7 @@
     std::optional<waiting_request> next(CanRun can_run)
     {
         const std::scoped_lock lock(m_mutex);
+        decay_rate(m_clock.now());
         const auto service = pick(m_services, [&](const auto& each)
                                   { return !each.second.callers.empty() && can_run(each.first); });
         if (service == m_services.end())
@@ -112,6 +113,7 @@
     {
         const std::scoped_lock lock(m_mutex);
         const base::time_point now = m_clock.now();
+        decay_rate(now);
         return take_if([now](const waiting_request& each, std::uint64_t)
                        { return each.deadline <= now; });
     }
@@ -136,12 +138,14 @@
             });
     }
 
-    /// Records that admitted work of this cost has completed; gives the drain rate.
+    /// Records that admitted work of this cost has completed; gives the drain rate. Call it before
+    /// `next`, while the requests that wait for the place are still queued.
     void record_completion(std::uint32_t cost)
     {
         const std::scoped_lock lock(m_mutex);
         decay_rate(m_clock.now());
-        m_completed += cost;
+        if (m_size != 0)
+            m_completed += cost;
     }
 
     /// When a refused caller should come back: after the waiting work has drained.
@@ -262,14 +266,17 @@
         return true;
     }
 
+    /// Time counts only while requests wait: a quiet period says nothing about how fast a queue
+    /// would drain, and a rate that fell in it would refuse the next burst.
     void decay_rate(base::time_point now)
     {
-        m_completed *= std::exp(-std::chrono::duration<double>(now - m_rate_at) /
-                                std::chrono::duration<double>(m_settings.rate_memory));
+        if (m_size != 0)
+            m_completed *= std::exp(-std::chrono::duration<double>(now - m_rate_at) /
+                                    std::chrono::duration<double>(m_settings.rate_memory));
         m_rate_at = now;
     }
 
-    /// Cost units per second; zero when nothing has completed lately.
+    /// Cost units per second while requests waited; zero when nothing completed then.
     double drain_rate(base::time_point now)
     {
         decay_rate(now);
--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -152,14 +152,17 @@
         return m_queue.next([](const std::string&) { return true; });
     }
 
-    /// Makes the measured drain rate about `per_second`.
+    /// Makes the measured drain rate about `per_second`; leaves the queue empty.
     void drain(std::uint32_t per_second)
     {
+        ASSERT_TRUE(
+            m_queue.enqueue({0, "filler", "a", 1, m_clock.now() + 1h}, m_displaced, m_reason));
         for (int step = 0; step < 200; ++step)
         {
             m_clock.advance(50ms);
             m_queue.record_completion(per_second / 20);
         }
+        ASSERT_EQ(next()->service, "filler");
     }
 
     base::manual_clock m_clock;
@@ -264,6 +267,16 @@
     EXPECT_EQ(m_queue.size(), 0U);
 }
 
+// Guards against a burst after a quiet period that is refused for a drain rate that seems low.
+TEST_F(admission_queue_test, quiet_period_does_not_lower_the_drain_rate)
+{
+    drain(200);
+    m_clock.advance(15s);
+    EXPECT_TRUE(add("search", "a", 20));
+    EXPECT_TRUE(add("search", "a", 20));
+    EXPECT_NEAR(static_cast<double>(m_queue.retry_after().count()), 200, 20);
+}
+
 // Guards against a refusal that comes at the deadline although it was certain long before.
 TEST_F(admission_queue_test, request_is_hopeless_once_the_drain_rate_has_fallen)
 {
