Platform: Keep connections without probing whether they are closed

is_closed_by_peer() releases its connection once too often (use after free under the address sanitizer), so kept connections now have an age limit and a read is repeated once.

--- a/source/platform/http_object_store.cpp
+++ b/source/platform/http_object_store.cpp
@@ -267,37 +267,48 @@
                         http::exchange_progress& progress, base::error& reason)
 {
     progress = http::exchange_progress::nothing_sent;
-    auto link = co_await acquire(deadline, reason);
+    const bool is_read = message.method() == http::verb::get;
+    const auto shared_message = std::make_shared<const http::request>(std::move(message));
+    connection link = take_idle();
+    const bool is_reused = link != nullptr;
+    if (!link)
+        link = co_await connect(deadline, reason);
     if (!link)
         co_return std::nullopt;
-    auto shared_message = std::make_shared<const http::request>(std::move(message));
-    auto reply = co_await (*link)->exchange(std::move(shared_message), deadline, progress, reason);
+    auto reply = co_await link->exchange(shared_message, deadline, progress, reason);
+    // The platform may have closed the idle connection meanwhile. A read has no effect, so that it
+    // can be sent again; a change cannot.
+    if (!reply && is_reused && is_read && reason.kind == base::error_kind::unreachable)
+    {
+        link = co_await connect(deadline, reason);
+        if (!link)
+            co_return std::nullopt;
+        reply = co_await link->exchange(shared_message, deadline, progress, reason);
+    }
     if (reply)
-        keep(std::move(*link));
+        keep(link);
     co_return reply;
 }
 
-http::awaitable<std::optional<http_object_store::connection>>
-http_object_store::acquire(base::time_point deadline, base::error& reason)
+http::awaitable<http_object_store::connection> http_object_store::connect(base::time_point deadline,
+                                                                          base::error& reason)
 {
-    while (connection idle = take_idle())
-        if (!co_await idle->is_closed_by_peer())
-            co_return idle;
+    connection result;
     const std::size_t first = m_preferred.load();
-    for (std::size_t step = 0; step < m_addresses.size(); ++step)
+    for (std::size_t step = 0; !result && step < m_addresses.size(); ++step)
     {
         // Leaves time for the remaining addresses when one does not answer.
         const auto now = std::chrono::steady_clock::now();
         const auto share = (deadline - now) / static_cast<int>(m_addresses.size() - step);
         const std::size_t index = (first + step) % m_addresses.size();
-        auto opened = co_await http::client_connection::connect(m_context, m_addresses[index],
-                                                                now + share, reason);
+        const auto opened = co_await http::client_connection::connect(m_context, m_addresses[index],
+                                                                      now + share, reason);
         if (!opened)
             continue;
         m_preferred.store(index);
-        co_return std::move(*opened);
+        result = *opened;
     }
-    co_return std::nullopt;
+    co_return result;
 }
 
 http::awaitable<write_status> http_object_store::change(http::request message,
@@ -348,21 +359,23 @@
 
 http_object_store::connection http_object_store::take_idle()
 {
+    const base::time_point limit = std::chrono::steady_clock::now() - max_idle_time;
     const std::scoped_lock lock(m_mutex);
+    std::erase_if(m_idle, [limit](const idle_connection& item) { return item.since < limit; });
     if (m_idle.empty())
         return nullptr;
-    connection last = std::move(m_idle.back());
+    connection last = std::move(m_idle.back().link);
     m_idle.pop_back();
     return last;
 }
 
-void http_object_store::keep(connection used)
+void http_object_store::keep(const connection& used)
 {
     if (!used->is_open())
         return;
     const std::scoped_lock lock(m_mutex);
     if (m_idle.size() < max_idle_connections)
-        m_idle.push_back(std::move(used));
+        m_idle.push_back({used, std::chrono::steady_clock::now()});
     else
         used->close();
 }
--- a/source/platform/http_object_store.hpp
+++ b/source/platform/http_object_store.hpp
@@ -18,13 +18,17 @@
 {
 
 /// An object_store over the platform's HTTP interface. Thread-safe. A call uses one connection; a
-/// pending watch occupies its connection until it ends. A call whose bytes were sent is never
-/// repeated silently; a connection that cannot be opened is tried at the next address.
+/// pending watch occupies its connection until it ends. A change whose bytes were sent is never
+/// repeated silently; a read is repeated once when a kept connection turns out to be closed. A
+/// connection that cannot be opened is tried at the next address.
 class http_object_store
 {
 public:
     /// Idle connections kept for later calls; further ones are closed after use.
     static constexpr std::size_t max_idle_connections = 4;
+    /// Below the time after which the other side closes idle connections, since a change that is
+    /// sent on a closed connection has an unknown result.
+    static constexpr std::chrono::milliseconds max_idle_time{20'000};
     /// Time beyond the wait of a watch after which its answer counts as lost.
     static constexpr std::chrono::milliseconds watch_grace{2'000};
 
@@ -64,19 +68,25 @@
 private:
     using connection = std::shared_ptr<http::client_connection>;
 
+    struct idle_connection
+    {
+        connection link;
+        base::time_point since;
+    };
+
     http_object_store(http::asio::io_context& context, std::vector<http::tcp::endpoint> addresses);
 
     http::awaitable<std::optional<http::response>> call(http::request message,
                                                         base::time_point deadline,
                                                         http::exchange_progress& progress,
                                                         base::error& reason);
-    http::awaitable<std::optional<connection>> acquire(base::time_point deadline,
-                                                       base::error& reason);
+    // Returns a new connection, or null.
+    http::awaitable<connection> connect(base::time_point deadline, base::error& reason);
     http::awaitable<write_status> change(http::request message, base::time_point deadline,
                                          std::uint64_t& new_version, base::error& reason);
     http::request make_request(http::verb method, const std::string& target) const;
     connection take_idle();
-    void keep(connection used);
+    void keep(const connection& used);
 
     http::asio::io_context& m_context;
     const std::vector<http::tcp::endpoint> m_addresses;
@@ -84,7 +94,7 @@
     std::atomic<std::size_t> m_preferred{0};
     std::mutex m_mutex;
     // Guarded by m_mutex. Open connections without a call.
-    std::vector<connection> m_idle;
+    std::vector<idle_connection> m_idle;
 };
 
 static_assert(object_store<http_object_store>);
