--- a/tests/unit/platformstandin_test.cpp
+++ b/tests/unit/platformstandin_test.cpp
@@ -35,6 +35,12 @@
 
     ~http_object_store_test() override
     {
+        // Connections and their server refer to each other until the connections have ended.
+        m_store.reset();
+        m_server->stop_accepting();
+        for (int wait = 0; wait < 2'000 && m_server->connection_count() != 0; ++wait)
+            std::this_thread::sleep_for(1ms);
+        EXPECT_EQ(m_server->connection_count(), 0U);
         m_server_context.stop();
         m_thread.join();
     }
