Base: Give types made in coroutines constructors

Cause: GCC 12 moves a braced aggregate inside a coroutine bit by bit, so that a string of fewer than 16 bytes points into the old place; the entry crashed on short command bodies. Ruled out: passing by reference alone, which left local aggregates broken. Change: error, sub_reply, stored_object, watch_result, command types and the query task have constructors; braces stay in ordinary functions only. Conclusion: a rule of the code base, noted in base/error.hpp.

--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -57,9 +57,10 @@
     auto ready = co_await connect(*command.shard, deadline, reason);
     if (!ready)
     {
-        reason.message = fmt::format("not run: {}", reason.message);
-        co_return command_result{
-            dispatch::outcome::not_run, std::move(permit).consume(), {}, std::move(reason), {}};
+        command_result result(dispatch::outcome::not_run, std::move(permit).consume());
+        result.reason = std::move(reason);
+        result.reason.message.insert(0, "not run: ");
+        co_return result;
     }
     dispatch::claim_handle claim = std::move(permit).consume();
     co_return co_await exchange(command, std::move(claim), *ready, deadline);
@@ -82,10 +83,7 @@
             ready_connection ready{target, std::move(pool), std::move(connection)};
             co_return ready;
         }
-        // The failure to connect counts against the replica like any other.
-        m_policy.begin(*target);
-        m_policy.finish(*target, {query::sub_result::unreachable, {}, false, reason},
-                        m_clock.now() - start);
+        note_connect_failure(*target, reason, start);
     }
     co_return std::nullopt;
 }
@@ -114,7 +112,7 @@
                                                          const ready_connection& ready,
                                                          base::time_point deadline)
 {
-    command_result result{dispatch::outcome::unknown, std::move(claim), {}, {}, {}};
+    command_result result(dispatch::outcome::unknown, std::move(claim));
     const base::time_point start = m_clock.now();
     m_policy.begin(*ready.target);
     http::exchange_progress progress = http::exchange_progress::nothing_sent;
@@ -123,11 +121,31 @@
     const auto reply =
         co_await ready.connection->exchange(message, deadline, progress, result.reason);
     ready.pool->release(ready.connection);
+    if (reply)
+        result.result = outcome_of(command, *reply);
+    else if (progress == http::exchange_progress::nothing_sent)
+        result.result = dispatch::outcome::not_run;
+    note_exchange(*ready.target, command, reply, start, result);
+    co_return result;
+}
+
+// A failure to connect counts against the replica like any other.
+void command_sender::note_connect_failure(const configuration::replica& target,
+                                          const base::error& reason, base::time_point start)
+{
+    m_policy.begin(target);
+    m_policy.finish(target, {query::sub_result::unreachable, {}, reason}, m_clock.now() - start);
+}
 
-    query::sub_reply health{query::sub_result::unreachable, {}, false, result.reason};
+// Fills in the answer, the reason and the record of the attempt, and counts it for routing.
+void command_sender::note_exchange(const configuration::replica& target,
+                                   const command_request& command,
+                                   const std::optional<http::response>& reply,
+                                   base::time_point start, command_result& result)
+{
+    query::sub_reply health{query::sub_result::unreachable, {}, result.reason};
     if (reply)
     {
-        result.result = outcome_of(command, *reply);
         result.answer = reply->body();
         health.is_draining = is_true(*reply, "X-Draining");
         health.result = result.result == dispatch::outcome::ran ? query::sub_result::answered
@@ -137,15 +155,12 @@
                                  ? base::error_kind::overloaded
                                  : base::error_kind::outcome_unknown,
                              fmt::format("the upstream answered with status {}; see its log",
-                                         reply->result_int()),
-                             {}};
+                                         reply->result_int())};
     }
-    else if (progress == http::exchange_progress::nothing_sent)
-        result.result = dispatch::outcome::not_run;
     const base::duration elapsed = m_clock.now() - start;
-    m_policy.finish(*ready.target, health, elapsed);
+    m_policy.finish(target, health, elapsed);
     result.attempts.push_back({command.shard->name,
-                               ready.target->name,
+                               target.name,
                                query::attempt_kind::first,
                                "claim won",
                                {},
@@ -153,7 +168,6 @@
                                health.result,
                                result.reason.message,
                                true});
-    co_return result;
 }
 
 } // namespace ospreystair::entry
--- a/programs/entry/command_sender.hpp
+++ b/programs/entry/command_sender.hpp
@@ -21,17 +21,24 @@
 /// does not accept it.
 struct command_request
 {
+    command_request(std::string id, std::string text, const configuration::shard* target)
+        : request_id(std::move(id)), body(std::move(text)), shard(target)
+    {
+    }
+
     std::string request_id;
     std::string body;
     const configuration::shard* shard = nullptr;
 };
 
-// Coroutines take aggregates by reference: GCC 12 copies an aggregate parameter of a coroutine bit
-// by bit, and both copies are destroyed.
-
 /// How a command ended. `claim` names the claim that its outcome belongs to.
 struct command_result
 {
+    command_result(dispatch::outcome how, dispatch::claim_handle whose)
+        : result(how), claim(std::move(whose))
+    {
+    }
+
     dispatch::outcome result = dispatch::outcome::not_run;
     dispatch::claim_handle claim;
     std::string answer;
@@ -57,6 +64,12 @@
                                          base::time_point deadline);
 
 private:
+    void note_connect_failure(const configuration::replica& target, const base::error& reason,
+                              base::time_point start);
+    void note_exchange(const configuration::replica& target, const command_request& command,
+                       const std::optional<http::response>& reply, base::time_point start,
+                       command_result& result);
+
     // A connection that is ready for the command.
     struct ready_connection
     {
--- a/programs/entry/query_service.cpp
+++ b/programs/entry/query_service.cpp
@@ -58,8 +58,8 @@
         static_cast<std::uint32_t>(snapshot->shards().size()), budget.end(), reason);
     if (!place)
         co_return refuse(std::move(record), reason);
-    run_type::task task{record.request_id, std::move(*snapshot),
-                        std::make_shared<const std::string>(message.body()), start, budget.end()};
+    run_type::task task(record.request_id, std::move(*snapshot),
+                        std::make_shared<const std::string>(message.body()), start, budget.end());
     auto run = co_await run_once(task, *decisions, exchange);
     if (run->answers().is_missing_for(query::sub_result::version_not_held) && !run->is_cancelled())
     {
--- a/source/base/error.hpp
+++ b/source/base/error.hpp
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace ospreystair::base
 {
@@ -36,9 +37,18 @@
 /// Returns the kind's name as used in messages, for example "not_found".
 std::string_view to_string(error_kind kind);
 
-/// The last reason of a failure.
+/// The last reason of a failure. This and other types that coroutines make have constructors,
+/// because GCC 12 moves a braced aggregate inside a coroutine bit by bit, which breaks short
+/// strings.
 struct error
 {
+    error() = default;
+    error(error_kind failure_kind, std::string text,
+          std::optional<std::chrono::milliseconds> come_back_after = std::nullopt)
+        : kind(failure_kind), message(std::move(text)), retry_after(come_back_after)
+    {
+    }
+
     error_kind kind = error_kind::none;
     std::string message;
     /// When it is worth coming back, if known.
--- a/source/platform/http_object_store.cpp
+++ b/source/platform/http_object_store.cpp
@@ -209,7 +209,7 @@
     auto object = parse_object(*reply, reason);
     if (!object)
         co_return std::nullopt;
-    co_return watch_result{true, std::move(*object)};
+    co_return watch_result(std::move(*object));
 }
 
 http::awaitable<std::optional<std::vector<listed_object>>>
--- a/source/platform/object_store.hpp
+++ b/source/platform/object_store.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "base/clock.hpp"
@@ -25,6 +26,12 @@
 /// deletion and re-creation.
 struct stored_object
 {
+    stored_object() = default;
+    stored_object(std::string text, std::uint64_t object_version)
+        : value(std::move(text)), version(object_version)
+    {
+    }
+
     std::string value;
     std::uint64_t version = 0;
 
@@ -50,6 +57,9 @@
 /// The result of a watch: whether the object has a newer version, and if so the object.
 struct watch_result
 {
+    watch_result() = default;
+    explicit watch_result(stored_object changed) : is_changed(true), object(std::move(changed)) {}
+
     bool is_changed = false;
     stored_object object;
 };
--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -69,6 +69,13 @@
     /// What a run was asked to do.
     struct task
     {
+        task(std::string id, pinned_snapshot pinned, std::shared_ptr<const std::string> text,
+             base::time_point start_time, base::time_point end_time)
+            : request_id(std::move(id)), snapshot(std::move(pinned)), body(std::move(text)),
+              start(start_time), deadline(end_time)
+        {
+        }
+
         std::string request_id;
         pinned_snapshot snapshot;
         std::shared_ptr<const std::string> body;
--- a/source/query/sub_request.hpp
+++ b/source/query/sub_request.hpp
@@ -47,6 +47,12 @@
 /// The end of one attempt.
 struct sub_reply
 {
+    sub_reply() = default;
+    sub_reply(sub_result outcome, std::string answer, base::error why)
+        : result(outcome), body(std::move(answer)), reason(std::move(why))
+    {
+    }
+
     sub_result result = sub_result::cancelled;
     /// The JSON text of the answer.
     std::string body;
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -56,7 +56,7 @@
 
 sub_reply make_failure(sub_result result, base::error_kind kind, std::string message)
 {
-    return {result, {}, false, {kind, std::move(message), {}}};
+    return {result, {}, {kind, std::move(message)}};
 }
 
 std::string_view header(const http::response& reply, std::string_view name)
@@ -233,7 +233,7 @@
     if (has_error_member(reply.body()))
         return make_failure(sub_result::failed, base::error_kind::protocol,
                             "the replica's answer holds an error; see its log");
-    return {sub_result::answered, reply.body(), false, {}};
+    return {sub_result::answered, reply.body(), {}};
 }
 
 } // namespace ospreystair::query
