--- a/source/dispatch/completion.cpp
+++ b/source/dispatch/completion.cpp
@@ -5,8 +5,8 @@
 namespace ospreystair::dispatch
 {
 
-completion::completion(http::asio::any_io_executor executor)
-    : m_strand(std::move(executor)), m_timer(m_strand)
+completion::completion(const http::asio::any_io_executor& executor)
+    : m_strand(executor), m_timer(m_strand)
 {
 }
 
--- a/source/dispatch/completion.hpp
+++ b/source/dispatch/completion.hpp
@@ -15,7 +15,7 @@
 class completion : public std::enable_shared_from_this<completion>
 {
 public:
-    explicit completion(http::asio::any_io_executor executor);
+    explicit completion(const http::asio::any_io_executor& executor);
 
     /// Ends the wait, also one that begins later.
     void set();
--- a/tests/unit/platformstandin_test.cpp
+++ b/tests/unit/platformstandin_test.cpp
@@ -37,6 +37,8 @@
     {
         // Connections and their server refer to each other until the connections have ended.
         m_store.reset();
+        m_context.restart();
+        m_context.run();
         m_server->stop_accepting();
         for (int wait = 0; wait < 2'000 && m_server->connection_count() != 0; ++wait)
             std::this_thread::sleep_for(1ms);
