Http: Name the closure that checks an idle connection

Cause: agents crashed within 2 s of their start. GCC 12 destroys the captures of a temporary closure in a co_await expression twice, so each check of an idle connection dropped one reference too many, and the platform client used a freed connection.

Ruled out: the declaration in the while condition of http_object_store::acquire(); a trial without it crashed the same way.

Change: is_closed_by_peer() names its closure, as exchange() does.

Conclusion: four agents against the platform stand-in run without a crash.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -109,21 +109,20 @@
 awaitable<bool> client_connection::is_closed_by_peer()
 {
     const auto self = shared_from_this();
-    co_return co_await asio::co_spawn(
-        m_stream.get_executor(),
-        [self]() -> awaitable<bool>
-        {
-            char byte = 0;
-            boost::system::error_code code;
-            self->m_stream.socket().non_blocking(true, code);
-            self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek,
-                                            code);
-            const bool is_idle = code == asio::error::would_block;
-            if (!is_idle)
-                self->close_on_strand();
-            co_return !is_idle;
-        },
-        asio::use_awaitable);
+    // Named, because GCC 12 destroys the captures of a temporary closure in a co_await expression
+    // twice, which frees a connection that is still in use.
+    const auto work = [self]() -> awaitable<bool>
+    {
+        char byte = 0;
+        boost::system::error_code code;
+        self->m_stream.socket().non_blocking(true, code);
+        self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+        const bool is_idle = code == asio::error::would_block;
+        if (!is_idle)
+            self->close_on_strand();
+        co_return !is_idle;
+    };
+    co_return co_await asio::co_spawn(m_stream.get_executor(), work, asio::use_awaitable);
 }
 
 void client_connection::close()
