--- a/programs/agent/agent_state.cpp
+++ b/programs/agent/agent_state.cpp
@@ -2,10 +2,12 @@
 
 #include "agent_state.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "configuration/stored_configuration.hpp"
 #include "rpc/rpc_server.hpp"
 
 namespace ospreystair::agent
@@ -13,6 +15,30 @@
 
 using observe::log_level;
 
+namespace
+{
+
+// Reads the form that operators' commands write. An object without any known member is refused,
+// because it would count as an empty configuration.
+std::optional<configuration::document>
+parse_configuration(const std::string& text, std::uint64_t version, base::error& reason)
+{
+    const auto value = rpc::parse_json(text, reason);
+    if (!value)
+        return std::nullopt;
+    if (!value->isObject() || !(*value)["configuration"].isObject() ||
+        !(*value)["configuration"]["services"].isArray())
+        return base::fail(reason, base::error_kind::protocol,
+                          "the configuration object has no list of services; write it with "
+                          "ospreystairctl");
+    auto stored = configuration::stored_configuration_from_json(*value, version, reason);
+    if (!stored)
+        return std::nullopt;
+    return std::move(stored->configuration);
+}
+
+} // namespace
+
 agent_state::agent_state(observe::event_log& events) : m_events(events)
 {
     m_view.revision = 1;
@@ -24,8 +50,7 @@
     if (version <= configuration_version())
         return false;
     base::error reason;
-    const auto value = rpc::parse_json(text, reason);
-    auto parsed = value ? configuration::document_from_json(*value, reason) : std::nullopt;
+    auto parsed = parse_configuration(text, version, reason);
     const std::scoped_lock lock(m_mutex);
     if (!parsed)
     {
@@ -35,14 +60,14 @@
     // Another thread may have adopted a version meanwhile.
     if (version <= m_view.configuration_version)
         return false;
-    m_replica_names.clear();
+    m_replicas.clear();
     for (const auto& [name, service] : parsed->services)
         for (const auto& shard : service.shards)
             for (const auto& replica : shard.replicas)
-                m_replica_names.insert(replica.name);
+                m_replicas.emplace(replica.name, replica.address);
     const std::uint64_t previous = std::exchange(m_view.configuration_version, version);
     m_view.configuration = std::move(*parsed);
-    m_configuration_text = text;
+    update_draining();
     ++m_view.revision;
     m_events.write(log_level::info, "configuration_adopted", "",
                    {{"version", version}, {"previous", previous}, {"source", source}});
@@ -88,6 +113,14 @@
 void agent_state::set_draining(std::set<std::string> names)
 {
     const std::scoped_lock lock(m_mutex);
+    m_news_draining = std::move(names);
+    update_draining();
+}
+
+void agent_state::update_draining()
+{
+    std::set<std::string> names = m_news_draining;
+    names.insert(m_view.configuration.draining.begin(), m_view.configuration.draining.end());
     if (m_view.draining == names)
         return;
     m_view.draining = std::move(names);
@@ -97,16 +130,39 @@
 void agent_state::set_members(std::vector<configuration::member> members)
 {
     const std::scoped_lock lock(m_mutex);
-    if (m_view.members == members)
-        return;
+    const bool is_same =
+        std::equal(members.begin(), members.end(), m_view.members.begin(), m_view.members.end(),
+                   [](configuration::member left, const configuration::member& right)
+                   {
+                       left.configuration_version = right.configuration_version;
+                       return left == right;
+                   });
     m_view.members = std::move(members);
-    ++m_view.revision;
+    if (!is_same)
+        ++m_view.revision;
 }
 
-held_document agent_state::configuration() const
+configuration_object agent_state::held_configuration() const
 {
     const std::scoped_lock lock(m_mutex);
-    return {m_view.configuration_version, m_configuration_text};
+    Json::Value result;
+    result["configuration"] = configuration::to_json(m_view.configuration);
+    return {m_view.configuration_version, rpc::to_text(result)};
+}
+
+configuration::view agent_state::make_view() const
+{
+    configuration::view result = m_view;
+    for (const auto& [service, index] : m_indexes)
+        if (m_view.configuration.services.contains(service))
+            result.indexes[service] = index.state;
+    return result;
+}
+
+configuration::view agent_state::current_view() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return make_view();
 }
 
 std::uint64_t agent_state::configuration_version() const
@@ -122,25 +178,28 @@
     return position == m_indexes.end() ? 0 : position->second.version;
 }
 
-std::vector<std::string> agent_state::service_names() const
+std::string agent_state::index_text(const std::string& service) const
 {
     const std::scoped_lock lock(m_mutex);
-    std::vector<std::string> names;
-    for (const auto& [name, service] : m_view.configuration.services)
-        names.push_back(name);
-    return names;
+    const auto position = m_indexes.find(service);
+    return position == m_indexes.end()
+               ? std::string()
+               : rpc::to_text(configuration::to_json(position->second.state));
 }
 
 bool agent_state::is_replica(const std::string& name) const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_replica_names.contains(name);
+    return m_replicas.contains(name);
 }
 
-std::set<std::string> agent_state::draining() const
+std::optional<settings::socket_address> agent_state::replica_address(const std::string& name) const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_view.draining;
+    const auto position = m_replicas.find(name);
+    if (position == m_replicas.end())
+        return std::nullopt;
+    return position->second;
 }
 
 Json::Value agent_state::view_since(std::uint64_t since) const
@@ -153,20 +212,11 @@
         result["changed"] = false;
         return result;
     }
-    result = configuration::to_json(m_view);
-    for (const auto& [service, index] : m_indexes)
-        if (m_view.configuration.services.contains(service))
-            result["indexes"][service] = configuration::to_json(index.state);
+    result = configuration::to_json(make_view());
     result["changed"] = true;
     return result;
 }
 
-std::uint64_t agent_state::revision() const
-{
-    const std::scoped_lock lock(m_mutex);
-    return m_view.revision;
-}
-
 void agent_state::log_refusal(std::string_view name, std::uint64_t version, std::string_view source,
                               const base::error& reason)
 {
--- a/programs/agent/agent_state.hpp
+++ b/programs/agent/agent_state.hpp
@@ -21,7 +21,7 @@
 {
 
 /// The text and version of the configuration in force here.
-struct held_document
+struct configuration_object
 {
     std::uint64_t version = 0;
     std::string text;
@@ -33,29 +33,33 @@
 public:
     explicit agent_state(observe::event_log& events);
 
-    /// Adopts a configuration document of a higher version if it passes its check as a whole.
-    /// Returns whether it was adopted.
+    /// Adopts a configuration object of a higher version if it passes its check as a whole.
+    /// `text` has the platform object's form. Returns whether it was adopted.
     bool adopt_configuration(std::uint64_t version, const std::string& text,
                              std::string_view source);
     /// Adopts an index object of a higher version if it passes its check and its current version
     /// is not lower than the one held. Returns whether it was adopted.
     bool adopt_index(const std::string& service, std::uint64_t version, const std::string& text,
                      std::string_view source);
-    /// Replaces the names of the draining replicas and the members.
+    /// Replaces the upstreams that drain according to the news. The view also names those that
+    /// operators have drained in the configuration.
     void set_draining(std::set<std::string> names);
+    /// Replaces the members. A change of configuration versions alone makes no new revision,
+    /// because an entry would read the whole view again for it.
     void set_members(std::vector<configuration::member> members);
 
-    held_document configuration() const;
+    /// The configuration in the platform's form, without its history.
+    configuration_object held_configuration() const;
+    configuration::view current_view() const;
     std::uint64_t configuration_version() const;
     std::uint64_t index_version(const std::string& service) const;
-    std::vector<std::string> service_names() const;
+    std::string index_text(const std::string& service) const;
     bool is_replica(const std::string& name) const;
-    std::set<std::string> draining() const;
+    std::optional<settings::socket_address> replica_address(const std::string& name) const;
 
     /// The result of the `view` method: the whole view, or `changed` false when `since` is the
     /// current revision.
     Json::Value view_since(std::uint64_t since) const;
-    std::uint64_t revision() const;
 
 private:
     struct held_index
@@ -64,6 +68,10 @@
         configuration::index_state state;
     };
 
+    // Brings m_view up to date; m_mutex must be held.
+    void update_draining();
+    configuration::view make_view() const;
+
     // Logs a refused document once per version, so that polling it does not repeat the line.
     void log_refusal(std::string_view name, std::uint64_t version, std::string_view source,
                      const base::error& reason);
@@ -73,8 +81,8 @@
     // All below are guarded by m_mutex. m_view.configuration_version never decreases, nor does the
     // version or the current index version of any held_index.
     configuration::view m_view;
-    std::string m_configuration_text;
-    std::set<std::string> m_replica_names;
+    std::set<std::string> m_news_draining;
+    std::map<std::string, settings::socket_address> m_replicas;
     std::map<std::string, held_index> m_indexes;
     std::map<std::string, std::uint64_t> m_refused;
 };
--- /dev/null
+++ b/programs/agent/command_service.cpp
@@ -0,0 +1,90 @@
+// Runs commands on behalf of operators.
+
+#include "command_service.hpp"
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <utility>
+
+#include <boost/asio/use_future.hpp>
+#include <fmt/format.h>
+
+#include "configuration/credential.hpp"
+
+namespace ospreystair::agent
+{
+
+namespace
+{
+
+// Two attempts of the executor, each of up to 2 s. A graceful stop waits for it.
+constexpr std::chrono::seconds command_time{5};
+// Time beyond that for the executor to notice its deadline.
+constexpr std::chrono::seconds command_grace{1};
+
+// Shared with the coroutine, which may outlive a caller that stops waiting for it.
+struct command_outcome
+{
+    std::optional<Json::Value> output;
+    base::error reason;
+};
+
+} // namespace
+
+command_service::command_service(http::asio::io_context& context,
+                                 platform::http_object_store& store, std::string credential,
+                                 agent_state& state, observe::event_log& events,
+                                 std::function<void()> refresh)
+    : m_context(context), m_credential(std::move(credential)), m_state(state), m_events(events),
+      m_refresh(std::move(refresh)), m_tokens(events.identity()), m_executor(store, m_tokens)
+{
+}
+
+std::optional<Json::Value> command_service::execute(const Json::Value& parameters,
+                                                    base::error& reason)
+{
+    if (!configuration::is_credential_valid(m_credential, parameters["credential"].asString()))
+    {
+        m_events.write(observe::log_level::warning, "command_refused", "",
+                       {{"reason", "credential"}});
+        return base::fail(reason, base::error_kind::permission_denied,
+                          m_credential.empty()
+                              ? "this agent has no operator credential; start it with "
+                                "--operator-credential"
+                              : "the credential is missing or wrong; give that of this agent's "
+                                "--operator-credential");
+    }
+    configuration::execution_context context;
+    context.operator_name = parameters.get("operator", "operator").asString();
+    context.current = m_state.current_view();
+    std::string command = parameters["command"].asString();
+    const auto deadline = std::chrono::steady_clock::now() + command_time;
+    const auto outcome = std::make_shared<command_outcome>();
+    auto finished = http::asio::co_spawn(
+        m_context,
+        [this, outcome, command, context = std::move(context),
+         deadline]() mutable -> http::awaitable<void>
+        {
+            outcome->output = co_await m_executor.execute(std::move(command), std::move(context),
+                                                          deadline, outcome->reason);
+        },
+        http::asio::use_future);
+    if (finished.wait_until(deadline + command_grace) != std::future_status::ready)
+        return base::fail(reason, base::error_kind::outcome_unknown,
+                          "the command did not end in time; see show history before you repeat it");
+    auto& output = outcome->output;
+    reason = outcome->reason;
+    m_events.write(observe::log_level::info, "command_executed", "",
+                   {{"operator", parameters.get("operator", "operator").asString()},
+                    {"outcome", output ? "done" : base::to_string(reason.kind)}});
+    // The agents that watch hear of a change by themselves; this one may not be among them.
+    m_refresh();
+    if (!output)
+        return std::nullopt;
+    Json::Value result;
+    result["output"] = std::move(*output);
+    return result;
+}
+
+} // namespace ospreystair::agent
--- /dev/null
+++ b/programs/agent/drain_news.hpp
@@ -0,0 +1,43 @@
+// The value of the registers `drain/<upstream>`.
+
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_DRAIN_NEWS_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_DRAIN_NEWS_HPP
+
+#include <chrono>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "membership/news_table.hpp"
+
+namespace ospreystair::agent
+{
+
+constexpr std::string_view drain_prefix = "drain/";
+
+/// Whether an upstream is leaving. A drain ends at a time, so that an upstream that comes back is
+/// used again even if nobody says so. An agent extends it while the upstream still drains.
+struct drain_news
+{
+    /// Wall time since the Unix epoch, so that all VMs agree on it.
+    std::chrono::milliseconds expires{0};
+    bool is_draining = false;
+
+    /// Returns `draining <ms>` or `serving <ms>`.
+    std::string to_text() const;
+    static std::optional<drain_news> from_text(std::string_view text);
+
+    bool is_in_force(std::chrono::milliseconds now) const { return is_draining && expires > now; }
+};
+
+/// Names of the upstreams that drain at `now`.
+std::set<std::string> find_draining(const membership::news_table& news,
+                                    std::chrono::milliseconds now);
+
+/// Wall time since the Unix epoch.
+std::chrono::milliseconds wall_time();
+
+} // namespace ospreystair::agent
+
+#endif
--- /dev/null
+++ b/programs/agent/gossip_service.hpp
@@ -0,0 +1,106 @@
+// Binds the membership state machine to a UDP socket and a timer, and carries what it learns into
+// the agent's state.
+
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_GOSSIP_SERVICE_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_GOSSIP_SERVICE_HPP
+
+#include <array>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agent_settings.hpp"
+#include "agent_state.hpp"
+#include "base/clock.hpp"
+#include "base/random.hpp"
+#include "drain_news.hpp"
+#include "http/asio.hpp"
+#include "membership/swim.hpp"
+#include "observe/event_log.hpp"
+#include "observe/metrics.hpp"
+
+namespace ospreystair::agent
+{
+
+/// Thread-safe.
+class gossip_service
+{
+public:
+    /// Called with the control address of a member that has something newer.
+    using fetch_function = std::function<void(const std::string& holder)>;
+
+    /// Binds the UDP port. Fails with address_in_use or invalid_settings.
+    static std::optional<std::unique_ptr<gossip_service>>
+    create(http::asio::io_context& context, const agent_settings& settings, agent_state& state,
+           observe::event_log& events, observe::metrics& metrics, base::error& reason);
+
+    /// Starts probing. `fetch` must not block.
+    void start(fetch_function fetch);
+    /// Tells other members that this one leaves, and stops probing.
+    void leave();
+
+    /// Spreads a register.
+    void publish(const protocol::register_item& item);
+    /// Marks an upstream as draining or serving unless it is known already.
+    void publish_drain(const std::string& upstream, bool is_draining);
+    /// Makes the configuration version known to the other members.
+    void announce_configuration(std::uint64_t version);
+    void merge_members(const std::vector<protocol::member_record>& records);
+    void set_seeds(std::set<std::string> addresses);
+
+    std::vector<protocol::member_record> members() const;
+    std::map<std::string, std::uint64_t> register_versions() const;
+    std::vector<protocol::register_item>
+    newer_registers(const std::map<std::string, std::uint64_t>& known) const;
+    /// A hash of members and registers that is the same on agents with the same state.
+    std::string digest() const;
+    /// Whether this agent watches the platform for its data centre.
+    bool is_watcher() const;
+    /// The drains that are in force, with their end.
+    std::map<std::string, drain_news> drains() const;
+    /// Whether this agent is the one that looks after `task` now; live members agree on it.
+    bool is_responsible_for(const std::string& task) const;
+
+private:
+    using machine = membership::swim<base::steady_clock_source, base::seeded_random>;
+
+    gossip_service(http::asio::io_context& context, const agent_settings& settings,
+                   agent_state& state, observe::event_log& events, observe::metrics& metrics);
+    bool bind(const settings::socket_address& address, base::error& reason);
+    http::awaitable<void> receive_loop();
+    http::awaitable<void> tick_loop();
+    void receive(std::string_view bytes);
+    // Carries out a step; m_mutex must not be held.
+    void apply(membership::step produced);
+    void send(membership::outgoing item);
+    void log_changes(const membership::step& produced);
+    void refresh_state();
+
+    agent_state& m_state;
+    observe::event_log& m_events;
+    observe::counter& m_sent_bytes;
+    observe::counter& m_sent_datagrams;
+    observe::counter& m_received_bytes;
+    observe::counter& m_refused_datagrams;
+    observe::gauge& m_live_members;
+    const base::steady_clock_source m_clock{};
+    http::asio::strand<http::asio::io_context::executor_type> m_strand;
+    // Used on m_strand only.
+    http::asio::ip::udp::socket m_socket;
+    http::asio::steady_timer m_timer;
+    fetch_function m_fetch;
+    mutable std::mutex m_mutex;
+    // Guarded by m_mutex.
+    base::seeded_random m_random;
+    machine m_machine;
+    bool m_is_name_taken = false;
+};
+
+} // namespace ospreystair::agent
+
+#endif
--- /dev/null
+++ b/programs/agent/platform_follower.cpp
@@ -0,0 +1,280 @@
+// Loops that follow the platform.
+
+#include "platform_follower.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <json/json.h>
+
+#include "configuration/document.hpp"
+#include "http/client_connection.hpp"
+#include "rpc/rpc_server.hpp"
+
+namespace ospreystair::agent
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace asio = http::asio;
+using observe::log_level;
+
+constexpr auto call_time = 2s;
+constexpr auto watch_time = 10s;
+// Agents that do not watch, so that 410 of them make about 20 reads/s.
+constexpr std::chrono::milliseconds slow_period = 60s;
+// At the target, 20 watchers make 20 listings/s of the platform's 2,000 reads/s.
+constexpr std::chrono::milliseconds index_period = 1s;
+constexpr std::chrono::milliseconds vms_period = 5s;
+constexpr std::chrono::milliseconds retry_period = 1s;
+constexpr std::chrono::milliseconds drain_check_period = 5s;
+// Drains with less time than this are checked with the upstream; above the margin at which
+// publish_drain() extends them would change nothing.
+constexpr auto drain_check_margin = 30s;
+const std::string configuration_key = "configuration";
+const std::string index_prefix = "index/";
+
+base::time_point call_deadline()
+{
+    return std::chrono::steady_clock::now() + call_time;
+}
+
+} // namespace
+
+platform_follower::platform_follower(asio::io_context& context, platform::http_object_store& store,
+                                     std::set<std::string> seeds, agent_state& state,
+                                     gossip_service& gossip, observe::event_log& events,
+                                     observe::metrics& metrics)
+    : m_context(context), m_strand(asio::make_strand(context)), m_store(store),
+      m_seeds(std::move(seeds)), m_state(state), m_gossip(gossip), m_events(events),
+      m_calls(metrics.find_counter("ospreystair_platform_calls_total")),
+      m_failures(metrics.find_counter("ospreystair_platform_failures_total")),
+      m_random(base::system_seed())
+{
+}
+
+void platform_follower::start()
+{
+    asio::co_spawn(m_strand, follow_configuration(), asio::detached);
+    asio::co_spawn(m_strand, follow_indexes(), asio::detached);
+    asio::co_spawn(m_strand, follow_vms(), asio::detached);
+    asio::co_spawn(m_strand, extend_drains(), asio::detached);
+}
+
+void platform_follower::refresh()
+{
+    asio::co_spawn(
+        m_strand,
+        [this]() -> asio::awaitable<void>
+        {
+            co_await read_configuration();
+            co_await read_indexes();
+        },
+        asio::detached);
+}
+
+asio::awaitable<void> platform_follower::pause(std::chrono::milliseconds time)
+{
+    // Jitter of a half to either side keeps agents that started together apart.
+    asio::steady_timer timer(m_strand, time / 2 + std::chrono::milliseconds{m_random.below(
+                                                      static_cast<std::uint64_t>(time.count()))});
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+std::chrono::milliseconds platform_follower::period(std::chrono::milliseconds for_watchers) const
+{
+    return m_gossip.is_watcher() ? for_watchers : slow_period;
+}
+
+asio::awaitable<void> platform_follower::follow_configuration()
+{
+    co_await read_configuration();
+    for (;;)
+    {
+        if (m_gossip.is_watcher())
+        {
+            if (!co_await watch_configuration())
+                co_await pause(retry_period);
+            continue;
+        }
+        // A change of the watch plan must not wait for the end of a slow period.
+        const auto next = std::chrono::steady_clock::now() + slow_period / 2 +
+                          std::chrono::milliseconds{m_random.below(slow_period.count())};
+        while (std::chrono::steady_clock::now() < next && !m_gossip.is_watcher())
+            co_await pause(retry_period);
+        co_await read_configuration();
+    }
+}
+
+asio::awaitable<bool> platform_follower::read_configuration()
+{
+    base::error reason;
+    const auto object = co_await m_store.read(configuration_key, call_deadline(), reason);
+    note_call(object.has_value() || reason.kind == base::error_kind::not_found, "read", reason);
+    if (object)
+        adopt_configuration(*object);
+    co_return object.has_value();
+}
+
+asio::awaitable<bool> platform_follower::watch_configuration()
+{
+    base::error reason;
+    const std::uint64_t known = std::max(m_seen_configuration, m_state.configuration_version());
+    const auto result = co_await m_store.watch(configuration_key, known, watch_time, reason);
+    note_call(result.has_value(), "watch", reason);
+    if (!result)
+        co_return false;
+    if (result->is_changed)
+    {
+        adopt_configuration(result->object);
+        co_return true;
+    }
+    // A watch that stays silent about a change must not delay it beyond the 18 s that a change may
+    // take. The listing has the version only; reading the document every time would be too much.
+    const auto listed = co_await m_store.list(configuration_key, call_deadline(), reason);
+    note_call(listed.has_value(), "list", reason);
+    if (!listed)
+        co_return false;
+    for (const platform::listed_object& item : *listed)
+        if (item.key == configuration_key && item.version > known)
+            co_return co_await read_configuration();
+    co_return true;
+}
+
+void platform_follower::adopt_configuration(const platform::stored_object& object)
+{
+    m_seen_configuration = std::max(m_seen_configuration, object.version);
+    if (m_state.adopt_configuration(object.version, object.value, "platform"))
+        m_gossip.announce_configuration(object.version);
+}
+
+asio::awaitable<void> platform_follower::follow_indexes()
+{
+    for (;;)
+    {
+        const bool is_read = co_await read_indexes();
+        const auto next =
+            std::chrono::steady_clock::now() + (is_read ? period(index_period) : retry_period);
+        do
+            co_await pause(index_period);
+        while (std::chrono::steady_clock::now() < next && !m_gossip.is_watcher());
+    }
+}
+
+asio::awaitable<bool> platform_follower::read_indexes()
+{
+    base::error reason;
+    const auto listed = co_await m_store.list(index_prefix, call_deadline(), reason);
+    note_call(listed.has_value(), "list", reason);
+    if (!listed)
+        co_return false;
+    bool is_complete = true;
+    for (const platform::listed_object& item : *listed)
+    {
+        const std::string service =
+            item.key.starts_with(index_prefix) ? item.key.substr(index_prefix.size()) : "";
+        if (!configuration::is_valid_name(service))
+            continue;
+        if (item.version <= std::max(m_state.index_version(service), m_seen_indexes[service]))
+            continue;
+        const auto object = co_await m_store.read(item.key, call_deadline(), reason);
+        note_call(object.has_value(), "read", reason);
+        if (!object)
+        {
+            is_complete = false;
+            continue;
+        }
+        m_seen_indexes[service] = object->version;
+        if (m_state.adopt_index(service, object->version, object->value, "platform"))
+            m_gossip.publish({item.key, object->version, m_state.index_text(service)});
+    }
+    co_return is_complete;
+}
+
+asio::awaitable<void> platform_follower::follow_vms()
+{
+    for (;;)
+    {
+        base::error reason;
+        const auto vms = co_await m_store.list_vms(call_deadline(), reason);
+        note_call(vms.has_value(), "list_vms", reason);
+        if (vms)
+            take_vms(*vms);
+        const auto next =
+            std::chrono::steady_clock::now() + (vms ? period(vms_period) : retry_period);
+        do
+            co_await pause(retry_period);
+        while (std::chrono::steady_clock::now() < next);
+    }
+}
+
+void platform_follower::take_vms(const std::vector<platform::vm_entry>& vms)
+{
+    std::set<std::string> seeds = m_seeds;
+    for (const platform::vm_entry& item : vms)
+    {
+        const bool is_replica = m_state.is_replica(item.vm);
+        if (is_replica && item.is_leaving)
+            m_gossip.publish_drain(item.vm, true);
+        // The list lags and says nothing about members that answer probes; it only names addresses
+        // that are worth a try.
+        if (!is_replica)
+            seeds.insert(item.address);
+    }
+    m_gossip.set_seeds(std::move(seeds));
+}
+
+asio::awaitable<void> platform_follower::extend_drains()
+{
+    for (;;)
+    {
+        co_await pause(drain_check_period);
+        for (const auto& [upstream, drain] : m_gossip.drains())
+            if (drain.expires < wall_time() + drain_check_margin &&
+                m_gossip.is_responsible_for(std::string(drain_prefix) + upstream))
+                co_await extend_drain(upstream);
+    }
+}
+
+// Asks an upstream whether it still drains. No answer extends the drain: there is no work that an
+// upstream which does not answer could do.
+asio::awaitable<void> platform_follower::extend_drain(std::string upstream)
+{
+    const auto address = m_state.replica_address(upstream);
+    if (!address)
+        co_return;
+    http::request message{http::verb::get, "/load", 11};
+    message.set(http::field::host, address->to_text());
+    http::exchange_progress progress{};
+    base::error reason;
+    const auto reply =
+        co_await http::exchange_once(m_context, http::make_endpoint(address->host, address->port),
+                                     std::move(message), call_deadline(), progress, reason);
+    bool is_draining = true;
+    if (reply && reply->result() == http::status::ok)
+    {
+        const auto load = rpc::parse_json(reply->body(), reason);
+        is_draining = !load || !load->isObject() || !(*load)["draining"].isBool() ||
+                      (*load)["draining"].asBool();
+    }
+    m_gossip.publish_drain(upstream, is_draining);
+}
+
+void platform_follower::note_call(bool is_success, std::string_view call, const base::error& reason)
+{
+    m_calls.add();
+    if (!is_success)
+        m_failures.add();
+    if (std::exchange(m_is_reachable, is_success) == is_success)
+        return;
+    if (is_success)
+        m_events.write(log_level::info, "platform_answers", "", {{"call", call}});
+    else
+        m_events.write(
+            log_level::warning, "platform_fails", "",
+            {{"call", call}, {"kind", base::to_string(reason.kind)}, {"message", reason.message}});
+}
+
+} // namespace ospreystair::agent
--- /dev/null
+++ b/programs/agent/platform_follower.hpp
@@ -0,0 +1,73 @@
+// Follows the platform: configuration, index objects, the list of VMs, and drains to extend.
+
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_PLATFORM_FOLLOWER_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_PLATFORM_FOLLOWER_HPP
+
+#include <chrono>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "agent_state.hpp"
+#include "base/random.hpp"
+#include "gossip_service.hpp"
+#include "http/asio.hpp"
+#include "observe/event_log.hpp"
+#include "observe/metrics.hpp"
+#include "platform/http_object_store.hpp"
+
+namespace ospreystair::agent
+{
+
+/// Watchers hold one watch, of the configuration, and list the index objects every second, which is
+/// one call whatever the number of services. All others read everything about once a minute. All
+/// members are used on one strand.
+class platform_follower
+{
+public:
+    platform_follower(http::asio::io_context& context, platform::http_object_store& store,
+                      std::set<std::string> seeds, agent_state& state, gossip_service& gossip,
+                      observe::event_log& events, observe::metrics& metrics);
+
+    void start();
+    /// Reads the configuration and the indexes now. Thread-safe.
+    void refresh();
+
+private:
+    http::awaitable<void> follow_configuration();
+    http::awaitable<void> follow_indexes();
+    http::awaitable<void> follow_vms();
+    http::awaitable<void> extend_drains();
+
+    http::awaitable<bool> read_configuration();
+    http::awaitable<bool> watch_configuration();
+    http::awaitable<bool> read_indexes();
+    http::awaitable<void> extend_drain(std::string upstream);
+    void adopt_configuration(const platform::stored_object& object);
+    void take_vms(const std::vector<platform::vm_entry>& vms);
+    // Logs the first failure and the first success after it.
+    void note_call(bool is_success, std::string_view call, const base::error& reason);
+    http::awaitable<void> pause(std::chrono::milliseconds time);
+    std::chrono::milliseconds period(std::chrono::milliseconds for_watchers) const;
+
+    http::asio::io_context& m_context;
+    http::asio::strand<http::asio::io_context::executor_type> m_strand;
+    platform::http_object_store& m_store;
+    const std::set<std::string> m_seeds;
+    agent_state& m_state;
+    gossip_service& m_gossip;
+    observe::event_log& m_events;
+    observe::counter& m_calls;
+    observe::counter& m_failures;
+    base::seeded_random m_random;
+    bool m_is_reachable = true;
+    // Highest versions read, refused ones included, so that these are not read again and again.
+    std::uint64_t m_seen_configuration = 0;
+    std::map<std::string, std::uint64_t> m_seen_indexes;
+};
+
+} // namespace ospreystair::agent
+
+#endif
--- /dev/null
+++ b/programs/agent/record_writer.cpp
@@ -0,0 +1,158 @@
+// Batches of records.
+
+#include "record_writer.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "rpc/rpc_server.hpp"
+
+namespace ospreystair::agent
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+namespace asio = http::asio;
+
+constexpr auto write_period = 5s;
+constexpr auto write_time = 3s;
+constexpr auto retry_pause = 100ms;
+
+} // namespace
+
+record_writer::record_writer(platform::http_object_store& store,
+                             const base::process_identity& identity, observe::event_log& events,
+                             observe::metrics& metrics)
+    : m_store(store),
+      m_prefix(
+          fmt::format("records/{}-{}/", identity.vm,
+                      base::to_base36(static_cast<std::uint64_t>(identity.incarnation.count())))),
+      m_events(events), m_written(metrics.find_counter("ospreystair_records_written_total")),
+      m_dropped(metrics.find_counter("ospreystair_records_dropped_total")),
+      m_pending_bytes_gauge(metrics.find_gauge("ospreystair_records_pending_bytes"))
+{
+}
+
+void record_writer::add(const Json::Value& records)
+{
+    std::size_t dropped = 0;
+    const std::scoped_lock lock(m_mutex);
+    for (const Json::Value& record : records)
+    {
+        std::string text = rpc::to_text(record);
+        if (text.size() > max_record_bytes)
+        {
+            ++dropped;
+            continue;
+        }
+        m_pending_bytes += text.size();
+        m_pending.push_back(std::move(text));
+    }
+    while (m_pending_bytes > max_pending_bytes)
+    {
+        m_pending_bytes -= m_pending.front().size();
+        m_pending.pop_front();
+        ++dropped;
+    }
+    m_pending_bytes_gauge.set(static_cast<std::int64_t>(m_pending_bytes));
+    if (dropped == 0)
+        return;
+    m_dropped.add(dropped);
+    m_events.write(observe::log_level::warning, "records_dropped", "",
+                   {{"count", dropped},
+                    {"message", "records are too large or the platform is down for too long; see "
+                                "the log lines of the entries for these requests"}});
+}
+
+asio::awaitable<void> record_writer::run()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (;;)
+    {
+        timer.expires_after(write_period);
+        co_await timer.async_wait(asio::use_awaitable);
+        co_await write_batch(std::chrono::steady_clock::now() + write_time);
+    }
+}
+
+asio::awaitable<bool> record_writer::flush(std::chrono::steady_clock::time_point deadline)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (std::chrono::steady_clock::now() < deadline)
+    {
+        if (co_await write_batch(deadline))
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (m_pending.empty() && m_batch.empty())
+                co_return true;
+            continue;
+        }
+        timer.expires_after(retry_pause);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    const std::scoped_lock lock(m_mutex);
+    co_return m_pending.empty() && m_batch.empty();
+}
+
+bool record_writer::prepare_batch()
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_is_writing)
+        return false;
+    if (m_batch.empty() && !m_pending.empty())
+    {
+        m_batch = "{\"records\":[";
+        m_batch_count = 0;
+        while (!m_pending.empty() && m_batch.size() + m_pending.front().size() < max_batch_bytes)
+        {
+            if (m_batch_count++ != 0)
+                m_batch += ',';
+            m_batch += m_pending.front();
+            m_pending_bytes -= m_pending.front().size();
+            m_pending.pop_front();
+        }
+        m_batch += "]}";
+    }
+    m_is_writing = !m_batch.empty();
+    m_pending_bytes_gauge.set(static_cast<std::int64_t>(m_pending_bytes + m_batch.size()));
+    return true;
+}
+
+// Returns false when the batch could not be written, or another write is under way.
+asio::awaitable<bool> record_writer::write_batch(std::chrono::steady_clock::time_point deadline)
+{
+    if (!prepare_batch())
+        co_return false;
+    std::string key;
+    std::string value;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_batch.empty())
+            co_return true;
+        key = m_prefix + std::to_string(m_sequence);
+        value = m_batch;
+    }
+    base::error reason;
+    std::uint64_t version = 0;
+    const auto status = co_await m_store.write(key, std::move(value), 0, deadline, version, reason);
+    const std::scoped_lock lock(m_mutex);
+    m_is_writing = false;
+    // No other process writes this key, so that a conflict means that an earlier write of the batch
+    // took effect and its answer was lost.
+    if (status != platform::write_status::applied && status != platform::write_status::conflict)
+    {
+        m_events.write(observe::log_level::debug, "records_not_written", "",
+                       {{"key", key}, {"message", reason.message}});
+        co_return false;
+    }
+    m_written.add(m_batch_count);
+    m_batch.clear();
+    ++m_sequence;
+    m_pending_bytes_gauge.set(static_cast<std::int64_t>(m_pending_bytes));
+    co_return true;
+}
+
+} // namespace ospreystair::agent
--- /dev/null
+++ b/programs/agent/record_writer.hpp
@@ -0,0 +1,69 @@
+// Writes request records to the platform, several in one object.
+
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_RECORD_WRITER_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_RECORD_WRITER_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+
+#include <json/json.h>
+
+#include "base/identifier.hpp"
+#include "http/asio.hpp"
+#include "observe/event_log.hpp"
+#include "observe/metrics.hpp"
+#include "platform/http_object_store.hpp"
+
+namespace ospreystair::agent
+{
+
+/// Keeps records during outages of the platform, up to a bound. Thread-safe.
+class record_writer
+{
+public:
+    /// Several minutes of records at 100 a second; the oldest are dropped beyond it.
+    static constexpr std::size_t max_pending_bytes = 16 << 20;
+    static constexpr std::size_t max_record_bytes = 16 << 10;
+    /// Below the platform's limit of 1 MB, with room for the list's brackets and commas.
+    static constexpr std::size_t max_batch_bytes = 900'000;
+
+    record_writer(platform::http_object_store& store, const base::process_identity& identity,
+                  observe::event_log& events, observe::metrics& metrics);
+
+    /// Takes the records of a report.
+    void add(const Json::Value& records);
+
+    /// Writes a batch every 5 s at most; 82 writes/s at 410 nodes.
+    http::awaitable<void> run();
+
+    /// Writes what is pending until `deadline`. Returns whether nothing is left.
+    http::awaitable<bool> flush(std::chrono::steady_clock::time_point deadline);
+
+private:
+    // Moves pending records into the batch unless one is waiting to be written.
+    bool prepare_batch();
+    http::awaitable<bool> write_batch(std::chrono::steady_clock::time_point deadline);
+
+    platform::http_object_store& m_store;
+    const std::string m_prefix;
+    observe::event_log& m_events;
+    observe::counter& m_written;
+    observe::counter& m_dropped;
+    observe::gauge& m_pending_bytes_gauge;
+    std::mutex m_mutex;
+    // All below are guarded by m_mutex. m_pending_bytes is the sum of the sizes in m_pending.
+    std::deque<std::string> m_pending;
+    std::size_t m_pending_bytes = 0;
+    // The object that is being written; kept until its write is known to have taken effect.
+    std::string m_batch;
+    std::size_t m_batch_count = 0;
+    std::uint64_t m_sequence = 1;
+    bool m_is_writing = false;
+};
+
+} // namespace ospreystair::agent
+
+#endif
