--- /dev/null
+++ b/source/operators/explanation.hpp
@@ -0,0 +1,24 @@
+// Renders a request's record as an explanation that an operator can read.
+
+#ifndef OSPREYSTAIR_OPERATORS_EXPLANATION_HPP
+#define OSPREYSTAIR_OPERATORS_EXPLANATION_HPP
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <json/json.h>
+
+#include "base/error.hpp"
+
+namespace ospreystair::operators
+{
+
+/// Returns the lines of an explanation: what was asked, the snapshot, every sub-request, and why
+/// the answer is as it is. `record` is what `GET /requests/<id>` of an entry gives. Fails with
+/// protocol when a member has another type.
+std::optional<std::vector<std::string>> explain(const Json::Value& record, base::error& reason);
+
+} // namespace ospreystair::operators
+
+#endif
