--- a/programs/ctl/agent_session.cpp
+++ b/programs/ctl/agent_session.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 
 #include "configuration/command.hpp"
+#include "operators/agent_refusal.hpp"
 #include "operators/selection.hpp"
 #include "operators/version_wait.hpp"
 #include "rpc/rpc_client.hpp"
@@ -22,20 +23,6 @@
 constexpr std::chrono::milliseconds poll_pause{200};
 constexpr int protocol_version = 1;
 
-// Reads the form `kind: message` of rpc_server's errors.
-base::error read_refusal(const std::string& text)
-{
-    const std::size_t colon = text.find(": ");
-    const std::string name = text.substr(0, colon);
-    for (int number = 1; number <= static_cast<int>(base::error_kind::internal); ++number)
-    {
-        const auto kind = static_cast<base::error_kind>(number);
-        if (colon != std::string::npos && base::to_string(kind) == name)
-            return {kind, text.substr(colon + 2), {}};
-    }
-    return {base::error_kind::protocol, text, {}};
-}
-
 // libjsonrpccpp reports CURLE_COULDNT_CONNECT (7) by this text only.
 bool is_connection_refused(const std::string& text)
 {
@@ -85,13 +72,24 @@
     rpc::rpc_client client(agent.to_text(), m_settings.timeout);
     std::string result;
     std::string error_text;
-    switch (client.call("execute", rpc::to_text(parameters), result, error_text))
+    const rpc::call_status status =
+        client.call("execute", rpc::to_text(parameters), result, error_text);
+    // Asked first, because the library takes some of the agents' codes for its own.
+    if (const auto refusal = operators::refusal_from_text(error_text);
+        refusal && status != rpc::call_status::answered)
+    {
+        reason = *refusal;
+        return std::nullopt;
+    }
+    switch (status)
     {
     case rpc::call_status::answered:
         break;
     case rpc::call_status::refused:
-        reason = read_refusal(error_text);
-        return std::nullopt;
+        return base::fail(reason, base::error_kind::protocol,
+                          fmt::format("agent {} refused the call: {}; check that it is of the same "
+                                      "release",
+                                      agent.to_text(), error_text));
     case rpc::call_status::unreachable:
         if (is_read_only || is_connection_refused(error_text))
             return base::fail(reason, base::error_kind::unreachable,
--- a/source/configuration/command_grammar.cpp
+++ b/source/configuration/command_grammar.cpp
@@ -217,7 +217,7 @@
 
 const x3::rule<class inquiry_id, inquiry> inquiry_rule = "an inquiry";
 const auto inquiry_rule_def =
-    (keyword("show") >> keyword("configuration") >> keyword("version") >
+    ((keyword("show") >> keyword("configuration") >> keyword("version")) >
      version_number[make<show_version>()]) |
     (keyword("show") > topic_rule[make<show>()]) | (keyword("compare") > compare_rule[keep()]) |
     (keyword("check") > x3::lit('{') > changes_rule[make<check_changes>()] > x3::lit('}'));
@@ -343,6 +343,8 @@
 
 std::nullopt_t refuse_at(std::string_view text, std::size_t position, base::error& reason)
 {
+    while (position < text.size() && is_space(text[position]))
+        ++position;
     return base::fail(reason, base::error_kind::invalid_argument,
                       fmt::format("cannot read the command at character {}, {}; write {}",
                                   position + 1, excerpt(text, position), form_at(text, position)));
--- /dev/null
+++ b/source/operators/agent_refusal.cpp
@@ -0,0 +1,41 @@
+// Reads the reason of a refusal from the text of a JSON-RPC error.
+
+#include "operators/agent_refusal.hpp"
+
+#include <string_view>
+
+namespace ospreystair::operators
+{
+
+namespace
+{
+
+std::optional<base::error_kind> kind_from_name(std::string_view name)
+{
+    for (int number = 1; number <= static_cast<int>(base::error_kind::internal); ++number)
+        if (base::to_string(static_cast<base::error_kind>(number)) == name)
+            return static_cast<base::error_kind>(number);
+    return std::nullopt;
+}
+
+} // namespace
+
+std::optional<base::error> refusal_from_text(const std::string& text)
+{
+    // The kind is the first or, after the library's text, the second part.
+    constexpr int max_parts = 2;
+    std::string_view rest = text;
+    for (int part = 0; part < max_parts; ++part)
+    {
+        const std::size_t colon = rest.find(": ");
+        if (colon == std::string_view::npos)
+            return std::nullopt;
+        const auto kind = kind_from_name(rest.substr(0, colon));
+        rest.remove_prefix(colon + 2);
+        if (kind)
+            return base::error{*kind, std::string(rest), std::nullopt};
+    }
+    return std::nullopt;
+}
+
+} // namespace ospreystair::operators
--- a/source/operators/selection_grammar.cpp
+++ b/source/operators/selection_grammar.cpp
@@ -95,8 +95,9 @@
     percentile("p50", aggregate_function::p50) | percentile("p99", aggregate_function::p99);
 
 const x3::rule<class aggregate_id, aggregate> aggregate_rule = "an aggregate";
-const auto aggregate_rule_def = keyword("count") | (function_rule[set(&aggregate::function)] >>
-                                                    '(' > field[set(&aggregate::field)] > ')');
+const auto aggregate_rule_def =
+    keyword("count") |
+    ((function_rule[set(&aggregate::function)] >> '(') > field[set(&aggregate::field)] > ')');
 
 const x3::rule<class column_id, std::string> column = "a column";
 const auto column_def =
--- a/tests/unit/operators_output_test.cpp
+++ b/tests/unit/operators_output_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include "operators/agent_refusal.hpp"
 #include "operators/output_format.hpp"
 #include "operators/version_wait.hpp"
 #include "rpc/rpc_server.hpp"
@@ -79,6 +80,21 @@
     EXPECT_FALSE(is_version_wait("waiting"));
 }
 
+// Guards against a refused change that is reported as an unknown outcome, and the reverse.
+TEST_F(output_test, refusal_is_recognized_behind_the_library_text)
+{
+    for (const char* prefix : {"", "Procedure specification mallformed: ", "libcurl error: "})
+    {
+        const auto refusal = refusal_from_text(std::string(prefix) + "not_found: no shard: s1");
+        ASSERT_TRUE(refusal) << prefix;
+        EXPECT_EQ(refusal->kind, base::error_kind::not_found);
+        EXPECT_EQ(refusal->message, "no shard: s1");
+    }
+    for (const char* text : {"", "timeout", "libcurl error: 28 -> Operation timed out",
+                             "a: b: conflict: c", "INTERNAL_ERROR: "})
+        EXPECT_FALSE(refusal_from_text(text)) << text;
+}
+
 // Guards against crashes on the answer of a process that is no agent.
 RC_GTEST_PROP(output_property, random_json_is_rendered_or_refused, (const std::string& bytes))
 {
