--- a/source/configuration/command_executor.hpp
+++ b/source/configuration/command_executor.hpp
@@ -132,8 +132,9 @@
     http::awaitable<std::optional<stored_configuration>>
     read_configuration(base::time_point deadline, base::error& reason)
     {
-        const auto object =
-            co_await m_store.read(configuration_key, call_deadline(deadline), reason);
+        // Named, because GCC 12 can destroy a temporary argument of a co_await expression twice.
+        const std::string key = configuration_key;
+        const auto object = co_await m_store.read(key, call_deadline(deadline), reason);
         if (object)
             co_return stored_configuration_from_text(object->value, object->version, reason);
         if (reason.kind == base::error_kind::not_found)
--- a/tests/unit/configuration_command_test.cpp
+++ b/tests/unit/configuration_command_test.cpp
@@ -11,6 +11,7 @@
 #include "configuration/document_change.hpp"
 #include "configuration/index_publication.hpp"
 #include "configuration/stored_configuration.hpp"
+#include "configuration/view.hpp"
 
 namespace ospreystair::configuration
 {
@@ -314,6 +315,29 @@
     EXPECT_TRUE(apply_text("restore upstream r", before).draining.empty());
 }
 
+// Guards against an entry that sends new work to an upstream that an operator has drained.
+TEST_F(command_test, drain_of_an_operator_is_part_of_the_view)
+{
+    view sent;
+    sent.configuration = apply_text("create service a kind query; create shard b in a;"
+                                    "create replica r in a.b at 10.0.0.1:80 data_centre x;"
+                                    "drain upstream r");
+    const auto received = view_from_json(to_json(sent), m_reason);
+    ASSERT_TRUE(received);
+    EXPECT_TRUE(received->draining.contains("r"));
+    sent.configuration = apply_text("restore upstream r", sent.configuration);
+    EXPECT_TRUE(view_from_json(to_json(sent), m_reason)->draining.empty());
+}
+
+// Guards against a document from elsewhere whose drains name no replica.
+TEST_F(command_test, document_with_a_drain_of_an_unknown_replica_is_refused)
+{
+    document value;
+    value.draining.insert("r");
+    EXPECT_FALSE(document_from_json(to_json(value), m_reason));
+    EXPECT_EQ(m_reason.kind, base::error_kind::invalid_argument);
+}
+
 // Guards against half of a change being applied.
 TEST_F(command_test, change_with_a_failing_statement_is_refused_as_a_whole)
 {
--- a/tests/unit/operators_selection_test.cpp
+++ b/tests/unit/operators_selection_test.cpp
@@ -170,9 +170,10 @@
     http::asio::io_context context;
     fixed_source source;
     std::optional<Json::Value> result;
+    const std::string text = "select vms";
     const auto run = [&]() -> http::awaitable<void>
     {
-        result = co_await execute_live_inquiry(source, "select vms", {}, m_reason);
+        result = co_await execute_live_inquiry(source, text, {}, m_reason);
     };
     http::asio::co_spawn(context, run, http::asio::detached);
     context.run();
