Dispatch: Read a claim bucket that may have changed before writing it

Cause: with several VMs the cached bucket is mostly out of date, so the first write of a claim failed with a conflict and was repeated. Ruled out: one object per claim, which costs the same writes and leaves one object per command to delete; fewer buckets, which raise the conflicts. Change: a bucket not touched for 10 ms is read before its next write.

--- a/source/dispatch/claim_ledger.hpp
+++ b/source/dispatch/claim_ledger.hpp
@@ -50,6 +50,8 @@
     std::chrono::milliseconds max_failure_backoff{100};
     /// How long the claim of an abandoned attempt is sought, to release it for repeats.
     std::chrono::milliseconds release_timeout{10'000};
+    /// A bucket that was not read or written for this long is read again before its next write.
+    std::chrono::milliseconds max_document_age{10};
     /// Buckets without work are forgotten after this time.
     std::chrono::milliseconds idle_timeout{60'000};
 };
@@ -197,6 +199,8 @@
         // read first.
         std::optional<claim_bucket> document;
         std::uint64_t version = 0;
+        // When the document was last known to be the stored one.
+        base::time_point document_at{};
         unsigned failures = 0;
     };
 
@@ -338,7 +342,7 @@
         round work;
         while (take_work(bucket, *state, work))
         {
-            if (!state->document || work.needs_fresh)
+            if (!state->document || work.needs_fresh || is_stale(*state))
             {
                 if (!co_await refresh(bucket, *state, work))
                 {
@@ -354,6 +358,13 @@
         }
     }
 
+    // A document that another VM has probably changed since: the write would fail and be repeated,
+    // and the platform allows four times as many reads as writes.
+    bool is_stale(const bucket_state& state) const
+    {
+        return m_clock.now() - state.document_at > m_options.max_document_age;
+    }
+
     // Collects deferred and new operations. Returns false when the loop of the bucket ends.
     bool take_work(const std::string& bucket, bucket_state& state, round& work)
     {
@@ -409,6 +420,7 @@
         if (object->version != state.version)
             resolve_earlier_writes(bucket, *document, work);
         state.document = std::move(document);
+        state.document_at = m_clock.now();
         state.version = object->version;
         work.is_fresh = true;
         work.needs_fresh = false;
@@ -554,6 +566,7 @@
         {
             assert(new_version > state.version);
             state.document = std::move(candidate);
+            state.document_at = m_clock.now();
             state.version = new_version;
             state.failures = 0;
             finish_stored(bucket, state, work);
