Entry: Refuse hopeless requests before their deadline

Cause: a request that waited for a place was refused only at its deadline, a changed max_concurrency forgot the requests in flight, and a request that lost a race for its place was charged twice by the queue. Ruled out: a timer of the queue itself; the waiting requests wake anyway. Change: waiting requests look every 20 ms whether they can still make it, the limiter adopts a new bound, and the next request keeps its place in line. Attempts cut short because the caller left are no latency samples.

--- a/programs/entry/admission_gate.cpp
+++ b/programs/entry/admission_gate.cpp
@@ -2,6 +2,7 @@
 
 #include "programs/entry/admission_gate.hpp"
 
+#include <cassert>
 #include <utility>
 
 namespace ospreystair::entry
@@ -9,6 +10,14 @@
 
 namespace asio = http::asio;
 
+namespace
+{
+
+// How often a waiting request is looked at: a refusal must not come only at the deadline.
+constexpr std::chrono::milliseconds check_interval{20};
+
+} // namespace
+
 admission_ticket::admission_ticket(admission_gate& gate, std::string service, std::uint32_t cost)
     : m_gate(&gate), m_service(std::move(service)), m_cost(cost)
 {
@@ -38,90 +47,122 @@
 {
 }
 
-std::shared_ptr<admission_gate::limiter> admission_gate::find_limiter(const std::string& service,
-                                                                      std::uint32_t max_concurrency)
+std::shared_ptr<admission_gate::limiter>
+admission_gate::find_limiter(const configuration::service& service)
 {
     const auto make = [&]
     {
         admission::limiter_settings settings;
-        settings.max_concurrency = max_concurrency;
-        return limiter_entry{max_concurrency, std::make_shared<limiter>(m_clock, settings)};
+        settings.max_concurrency = service.max_concurrency;
+        return limiter_entry{service.max_concurrency, std::make_shared<limiter>(m_clock, settings)};
     };
-    return m_limiters.update(service, make,
+    return m_limiters.update(service.name, make,
                              [&](limiter_entry& known)
                              {
-                                 if (known.max_concurrency != max_concurrency &&
-                                     max_concurrency != 0)
-                                     known = make();
+                                 if (known.max_concurrency != service.max_concurrency)
+                                     known.value->set_max_concurrency(service.max_concurrency);
+                                 known.max_concurrency = service.max_concurrency;
                                  return known.value;
                              });
 }
 
+std::shared_ptr<admission_gate::limiter>
+admission_gate::known_limiter(const std::string& service) const
+{
+    const auto known = m_limiters.find(service);
+    assert(known);
+    return known->value;
+}
+
 http::awaitable<std::optional<admission_ticket>>
 admission_gate::enter(const configuration::service& service, std::string caller, std::uint32_t cost,
                       base::time_point deadline, base::error& reason)
 {
-    const std::shared_ptr<limiter> limit = find_limiter(service.name, service.max_concurrency);
+    const std::shared_ptr<limiter> limit = find_limiter(service);
     // A newcomer must not pass those that wait.
-    if (m_queue.size() == 0 && limit->try_acquire())
+    if (m_waiting_count.load() == 0 && limit->try_acquire())
         co_return admission_ticket(*this, service.name, cost);
     const auto executor = co_await asio::this_coro::executor;
-    const auto own =
-        wait_in_queue(executor, {0, service.name, std::move(caller), cost, deadline}, reason);
-    if (!own)
+    const auto own = std::make_shared<waiter>(executor);
+    if (!wait_in_queue(own, service.name, caller, cost, deadline, reason))
         co_return std::nullopt;
     admit_waiting();
-    boost::system::error_code ignored;
-    co_await own->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    const std::scoped_lock lock(m_mutex);
-    if (own->is_admitted)
+    while (own->state.load() == waiter_state::waiting)
+    {
+        own->timer.expires_after(check_interval);
+        boost::system::error_code ignored;
+        co_await own->timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        refuse_hopeless();
+    }
+    if (own->state.load() == waiter_state::admitted)
         co_return admission_ticket(*this, service.name, cost);
-    for (const std::uint64_t id : m_queue.take_expired())
-        m_waiters.erase(id);
-    base::fail(reason, own->is_displaced ? base::error_kind::overloaded : base::error_kind::timeout,
-               own->is_displaced ? "not run: another caller's request took the place in the queue; "
-                                   "retry later"
-                                 : "not run: no place became free before the deadline; retry later",
-               m_queue.retry_after());
+    explain_refusal(own->state.load(), reason);
     co_return std::nullopt;
 }
 
-std::shared_ptr<admission_gate::waiter>
-admission_gate::wait_in_queue(const asio::any_io_executor& executor,
-                              const admission::waiting_request& request, base::error& reason)
+void admission_gate::explain_refusal(waiter_state state, base::error& reason)
+{
+    const bool is_displaced = state == waiter_state::displaced;
+    base::fail(reason, base::error_kind::overloaded,
+               is_displaced ? "not run: another caller's request took the place in the queue; "
+                              "retry later"
+                            : "not run: no place will be free before the deadline; retry later",
+               m_queue.retry_after());
+}
+
+bool admission_gate::wait_in_queue(const std::shared_ptr<waiter>& own, const std::string& service,
+                                   const std::string& caller, std::uint32_t cost,
+                                   base::time_point deadline, base::error& reason)
 {
-    auto own = std::make_shared<waiter>(executor);
-    own->timer.expires_at(request.deadline);
     const std::scoped_lock lock(m_mutex);
-    admission::waiting_request queued = request;
-    queued.id = ++m_last_id;
+    const std::uint64_t id = ++m_last_id;
     std::optional<std::uint64_t> displaced;
-    if (!m_queue.enqueue(queued, displaced, reason))
-        return nullptr;
+    if (!m_queue.enqueue({id, service, caller, cost, deadline}, displaced, reason))
+        return false;
     m_queued_count.add();
-    m_waiters.emplace(queued.id, own);
+    m_waiters.emplace(id, own);
+    m_waiting_count.store(m_waiters.size());
     if (displaced)
+        settle(*displaced, waiter_state::displaced);
+    return true;
+}
+
+// Needs the lock. Ends the wait of a request that has left the queue.
+void admission_gate::settle(std::uint64_t id, waiter_state state)
+{
+    const auto position = m_waiters.find(id);
+    assert(position != m_waiters.end());
+    const std::shared_ptr<waiter> item = position->second;
+    m_waiters.erase(position);
+    m_waiting_count.store(m_waiters.size());
+    item->state.store(state);
+    asio::post(item->timer.get_executor(), [item] { item->timer.cancel(); });
+}
+
+void admission_gate::refuse_hopeless()
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const std::uint64_t id : m_queue.take_hopeless())
+        settle(id, waiter_state::hopeless);
+    if (m_head && m_head->deadline <= m_clock.now())
     {
-        const auto position = m_waiters.find(*displaced);
-        const std::shared_ptr<waiter> loser = position->second;
-        m_waiters.erase(position);
-        loser->is_displaced = true;
-        asio::post(loser->timer.get_executor(), [loser] { loser->timer.cancel(); });
+        settle(m_head->id, waiter_state::hopeless);
+        m_head.reset();
     }
-    return own;
 }
 
 void admission_gate::leave(const std::string& service, std::uint32_t cost,
                            std::optional<base::duration> latency)
 {
-    const std::shared_ptr<limiter> limit = find_limiter(service, 0);
+    const std::shared_ptr<limiter> limit = known_limiter(service);
     if (latency)
         limit->release(*latency);
     else
         limit->release();
+    if (m_waiting_count.load() == 0)
+        return;
     m_queue.record_completion(cost);
-    if (m_queue.size() != 0)
-        admit_waiting();
+    admit_waiting();
 }
 
 void admission_gate::admit_waiting()
@@ -129,32 +170,19 @@
     const std::scoped_lock lock(m_mutex);
     const auto has_place = [this](const std::string& service)
     {
-        const auto limit = find_limiter(service, 0);
+        const auto limit = known_limiter(service);
         return limit->in_flight() < limit->limit();
     };
-    while (auto request = m_queue.next(has_place))
+    for (;;)
     {
-        const auto position = m_waiters.find(request->id);
-        if (position == m_waiters.end())
-            continue;
-        // Another thread may have taken the place since has_place() looked.
-        if (!find_limiter(request->service, 0)->try_acquire())
-        {
-            base::error ignored;
-            std::optional<std::uint64_t> displaced;
-            const std::shared_ptr<waiter> own = position->second;
-            if (!m_queue.enqueue(*request, displaced, ignored))
-            {
-                m_waiters.erase(position);
-                own->is_displaced = true;
-                asio::post(own->timer.get_executor(), [own] { own->timer.cancel(); });
-            }
+        if (!m_head)
+            m_head = m_queue.next(has_place);
+        // Another thread may have taken the place since has_place() looked; then the request stays
+        // first in line.
+        if (!m_head || !known_limiter(m_head->service)->try_acquire())
             return;
-        }
-        const std::shared_ptr<waiter> own = position->second;
-        m_waiters.erase(position);
-        own->is_admitted = true;
-        asio::post(own->timer.get_executor(), [own] { own->timer.cancel(); });
+        settle(m_head->id, waiter_state::admitted);
+        m_head.reset();
     }
 }
 
--- a/programs/entry/admission_gate.hpp
+++ b/programs/entry/admission_gate.hpp
@@ -4,6 +4,7 @@
 #ifndef OSPREYSTAIR_PROGRAMS_ENTRY_ADMISSION_GATE_HPP
 #define OSPREYSTAIR_PROGRAMS_ENTRY_ADMISSION_GATE_HPP
 
+#include <atomic>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -71,21 +72,30 @@
         std::shared_ptr<limiter> value;
     };
 
+    enum class waiter_state
+    {
+        waiting,
+        admitted,
+        displaced, ///< Another caller's request took its place in the queue.
+        hopeless   ///< Its deadline can't be met any more.
+    };
+
     // A request in the queue.
     struct waiter
     {
         explicit waiter(const http::asio::any_io_executor& executor) : timer(executor) {}
         http::asio::steady_timer timer;
-        // Guarded by m_mutex.
-        bool is_admitted = false;
-        bool is_displaced = false;
+        std::atomic<waiter_state> state{waiter_state::waiting};
     };
 
-    std::shared_ptr<limiter> find_limiter(const std::string& service,
-                                          std::uint32_t max_concurrency);
-    std::shared_ptr<waiter> wait_in_queue(const http::asio::any_io_executor& executor,
-                                          const admission::waiting_request& request,
-                                          base::error& reason);
+    std::shared_ptr<limiter> find_limiter(const configuration::service& service);
+    std::shared_ptr<limiter> known_limiter(const std::string& service) const;
+    bool wait_in_queue(const std::shared_ptr<waiter>& own, const std::string& service,
+                       const std::string& caller, std::uint32_t cost, base::time_point deadline,
+                       base::error& reason);
+    void settle(std::uint64_t id, waiter_state state);
+    void refuse_hopeless();
+    void explain_refusal(waiter_state state, base::error& reason);
     void leave(const std::string& service, std::uint32_t cost,
                std::optional<base::duration> latency);
     void admit_waiting();
@@ -94,8 +104,12 @@
     admission::admission_queue<base::steady_clock_source> m_queue;
     base::sharded_map<std::string, limiter_entry> m_limiters;
     std::mutex m_mutex;
-    // Guarded by m_mutex. Holds exactly the requests that are in m_queue.
+    // Guarded by m_mutex. Holds exactly the requests that are in m_queue or m_head.
     std::map<std::uint64_t, std::shared_ptr<waiter>> m_waiters;
+    // The size of m_waiters, for threads without the lock.
+    std::atomic<std::size_t> m_waiting_count{0};
+    // Guarded by m_mutex. The next request, taken from the queue but without a place yet.
+    std::optional<admission::waiting_request> m_head;
     std::uint64_t m_last_id = 0;
     observe::counter& m_queued_count;
 };
--- a/programs/entry/entry_policy.cpp
+++ b/programs/entry/entry_policy.cpp
@@ -153,11 +153,9 @@
 }
 
 void query_decisions::finish(const configuration::replica& target, query::attempt_kind kind,
-                             const query::sub_reply& reply, base::duration elapsed)
+                             const query::sub_reply& reply, base::duration elapsed, bool is_sample)
 {
     m_owner->finish(target, reply, elapsed);
-    const bool is_sample =
-        reply.result == query::sub_result::answered || reply.result == query::sub_result::cancelled;
     if (kind == query::attempt_kind::first && is_sample)
         m_service->hedges.record_latency(elapsed);
     if (reply.result == query::sub_result::overloaded)
--- a/programs/entry/entry_policy.hpp
+++ b/programs/entry/entry_policy.hpp
@@ -108,7 +108,7 @@
                                          base::error& reason);
     void begin(const configuration::replica& target, query::attempt_kind kind);
     void finish(const configuration::replica& target, query::attempt_kind kind,
-                const query::sub_reply& reply, base::duration elapsed);
+                const query::sub_reply& reply, base::duration elapsed, bool is_sample);
     std::optional<base::duration> hedge_delay(base::time_point sent_at, std::uint32_t hedge_count);
     bool take_hedge(const configuration::shard& shard, const std::vector<std::string>& tried,
                     base::time_point sent_at, std::uint32_t hedge_count);
--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -48,7 +48,8 @@
         policy.choose(shard, tried, reason)
         } -> std::same_as<const configuration::replica*>;
     policy.begin(target, kind);
-    policy.finish(target, kind, reply, elapsed);
+    // The last argument tells whether `elapsed` is a sample of the latency.
+    policy.finish(target, kind, reply, elapsed, true);
     // Time from now until a hedge is due; empty when there will be none.
     {
         policy.hedge_delay(sent_at, hedge_count)
@@ -316,7 +317,11 @@
         sub_reply reply =
             co_await m_upstream.send(*item->target, *message, m_work.deadline, item->cancel);
         const base::duration taken = m_clock.now() - start;
-        m_policy.finish(*item->target, item->record->kind, reply, taken);
+        // An attempt that was cut short because the caller left says nothing about the latency.
+        const bool is_sample = reply.result == sub_result::answered ||
+                               reply.result == sub_result::timeout ||
+                               (reply.result == sub_result::cancelled && !m_is_cancelled);
+        m_policy.finish(*item->target, item->record->kind, reply, taken, is_sample);
         item->record->elapsed = std::chrono::duration_cast<std::chrono::microseconds>(taken);
         item->record->result = reply.result;
         item->record->error = reply.reason.message;
