Http: Check idle connections in a member coroutine

Cause: an address sanitizer run reported a use after free in exchange(). The binary was compiled while the fix of is_closed_by_peer() was being written and may have held the old code.

Ruled out: http_object_store::acquire(); with its loop unchanged the sanitizer run is clean.

Change: is_closed_by_peer() has the same form as exchange(): a named closure that starts a member coroutine.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -111,18 +111,25 @@
     const auto self = shared_from_this();
     // Named, because GCC 12 destroys the captures of a temporary closure in a co_await expression
     // twice, which frees a connection that is still in use.
-    const auto work = [self]() -> awaitable<bool>
+    const auto work = [self]
     {
-        char byte = 0;
-        boost::system::error_code code;
-        self->m_stream.socket().non_blocking(true, code);
-        self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
-        const bool is_idle = code == asio::error::would_block;
-        if (!is_idle)
-            self->close_on_strand();
-        co_return !is_idle;
+        return self->check_idle_on_strand();
     };
-    co_return co_await asio::co_spawn(m_stream.get_executor(), work, asio::use_awaitable);
+    const bool is_closed =
+        co_await asio::co_spawn(m_stream.get_executor(), work, asio::use_awaitable);
+    co_return is_closed;
+}
+
+awaitable<bool> client_connection::check_idle_on_strand()
+{
+    char byte = 0;
+    boost::system::error_code code;
+    m_stream.socket().non_blocking(true, code);
+    m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code);
+    const bool is_idle = code == asio::error::would_block;
+    if (!is_idle)
+        close_on_strand();
+    co_return !is_idle;
 }
 
 void client_connection::close()
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -59,6 +59,8 @@
     explicit client_connection(asio::io_context& context);
     awaitable<exchange_result> exchange_on_strand(std::shared_ptr<const request> message,
                                                   std::chrono::steady_clock::time_point deadline);
+    // Returns whether the other side has closed the connection.
+    awaitable<bool> check_idle_on_strand();
     base::error describe_failure(boost::system::error_code code, std::string_view step) const;
     void close_on_strand();
 
