--- a/programs/agent/agent_process.hpp
+++ b/programs/agent/agent_process.hpp
@@ -38,6 +38,7 @@
     std::optional<Json::Value> take_report(const Json::Value& parameters);
     void wait_for_signal();
     http::awaitable<void> stop();
+    void log_stopped(bool is_flushed);
 
     const agent_settings m_settings;
     observe::event_log m_events;
--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -49,7 +49,7 @@
 
 } // namespace
 
-http::awaitable<command_result> command_sender::send(command_request command,
+http::awaitable<command_result> command_sender::send(const command_request& command,
                                                      dispatch::dispatch_permit permit,
                                                      base::time_point deadline)
 {
@@ -57,11 +57,13 @@
     auto ready = co_await connect(*command.shard, deadline, reason);
     if (!ready)
     {
-        reason.message = fmt::format("not run: {}", reason.message);
-        co_return command_result{
-            dispatch::outcome::not_run, std::move(permit).consume(), {}, std::move(reason), {}};
+        command_result result(dispatch::outcome::not_run, std::move(permit).consume());
+        result.reason = std::move(reason);
+        result.reason.message.insert(0, "not run: ");
+        co_return result;
     }
-    co_return co_await exchange(command, std::move(permit).consume(), std::move(*ready), deadline);
+    dispatch::claim_handle claim = std::move(permit).consume();
+    co_return co_await exchange(command, std::move(claim), *ready, deadline);
 }
 
 http::awaitable<std::optional<command_sender::ready_connection>>
@@ -77,11 +79,11 @@
             continue;
         const base::time_point start = m_clock.now();
         if (auto connection = co_await acquire_open(*pool, deadline, reason))
-            co_return ready_connection{target, std::move(pool), std::move(connection)};
-        // The failure to connect counts against the replica like any other.
-        m_policy.begin(*target);
-        m_policy.finish(*target, {query::sub_result::unreachable, {}, false, reason},
-                        m_clock.now() - start);
+        {
+            ready_connection ready{target, std::move(pool), std::move(connection)};
+            co_return ready;
+        }
+        note_connect_failure(*target, reason, start);
     }
     co_return std::nullopt;
 }
@@ -93,21 +95,24 @@
                              base::error& reason)
 {
     const auto cancel = std::make_shared<query::cancellation>();
-    while (auto connection = co_await pool.acquire(deadline, cancel, reason))
+    for (;;)
     {
-        if (!co_await (*connection)->is_closed_by_peer())
-            co_return std::move(*connection);
-        pool.release(std::move(*connection));
+        const auto connection = co_await pool.acquire(deadline, cancel, reason);
+        if (!connection)
+            co_return nullptr;
+        const bool is_closed = co_await (*connection)->is_closed_by_peer();
+        if (!is_closed)
+            co_return *connection;
+        pool.release(*connection);
     }
-    co_return nullptr;
 }
 
 http::awaitable<command_result> command_sender::exchange(const command_request& command,
                                                          dispatch::claim_handle claim,
-                                                         ready_connection ready,
+                                                         const ready_connection& ready,
                                                          base::time_point deadline)
 {
-    command_result result{dispatch::outcome::unknown, std::move(claim), {}, {}, {}};
+    command_result result(dispatch::outcome::unknown, std::move(claim));
     const base::time_point start = m_clock.now();
     m_policy.begin(*ready.target);
     http::exchange_progress progress = http::exchange_progress::nothing_sent;
@@ -115,12 +120,32 @@
         make_command_request(*ready.target, command, result.claim, deadline - start);
     const auto reply =
         co_await ready.connection->exchange(message, deadline, progress, result.reason);
-    ready.pool->release(std::move(ready.connection));
+    ready.pool->release(ready.connection);
+    if (reply)
+        result.result = outcome_of(command, *reply);
+    else if (progress == http::exchange_progress::nothing_sent)
+        result.result = dispatch::outcome::not_run;
+    note_exchange(*ready.target, command, reply, start, result);
+    co_return result;
+}
+
+// A failure to connect counts against the replica like any other.
+void command_sender::note_connect_failure(const configuration::replica& target,
+                                          const base::error& reason, base::time_point start)
+{
+    m_policy.begin(target);
+    m_policy.finish(target, {query::sub_result::unreachable, {}, reason}, m_clock.now() - start);
+}
 
-    query::sub_reply health{query::sub_result::unreachable, {}, false, result.reason};
+// Fills in the answer, the reason and the record of the attempt, and counts it for routing.
+void command_sender::note_exchange(const configuration::replica& target,
+                                   const command_request& command,
+                                   const std::optional<http::response>& reply,
+                                   base::time_point start, command_result& result)
+{
+    query::sub_reply health{query::sub_result::unreachable, {}, result.reason};
     if (reply)
     {
-        result.result = outcome_of(command, *reply);
         result.answer = reply->body();
         health.is_draining = is_true(*reply, "X-Draining");
         health.result = result.result == dispatch::outcome::ran ? query::sub_result::answered
@@ -130,15 +155,12 @@
                                  ? base::error_kind::overloaded
                                  : base::error_kind::outcome_unknown,
                              fmt::format("the upstream answered with status {}; see its log",
-                                         reply->result_int()),
-                             {}};
+                                         reply->result_int())};
     }
-    else if (progress == http::exchange_progress::nothing_sent)
-        result.result = dispatch::outcome::not_run;
     const base::duration elapsed = m_clock.now() - start;
-    m_policy.finish(*ready.target, health, elapsed);
+    m_policy.finish(target, health, elapsed);
     result.attempts.push_back({command.shard->name,
-                               ready.target->name,
+                               target.name,
                                query::attempt_kind::first,
                                "claim won",
                                {},
@@ -146,7 +168,6 @@
                                health.result,
                                result.reason.message,
                                true});
-    co_return result;
 }
 
 } // namespace ospreystair::entry
--- a/programs/entry/command_sender.hpp
+++ b/programs/entry/command_sender.hpp
@@ -21,6 +21,11 @@
 /// does not accept it.
 struct command_request
 {
+    command_request(std::string id, std::string text, const configuration::shard* target)
+        : request_id(std::move(id)), body(std::move(text)), shard(target)
+    {
+    }
+
     std::string request_id;
     std::string body;
     const configuration::shard* shard = nullptr;
@@ -29,6 +34,11 @@
 /// How a command ended. `claim` names the claim that its outcome belongs to.
 struct command_result
 {
+    command_result(dispatch::outcome how, dispatch::claim_handle whose)
+        : result(how), claim(std::move(whose))
+    {
+    }
+
     dispatch::outcome result = dispatch::outcome::not_run;
     dispatch::claim_handle claim;
     std::string answer;
@@ -48,10 +58,18 @@
 
     /// Uses the permit up. Looks for an open connection to any usable replica of the shard, which
     /// sends nothing, and then writes the command to exactly one.
-    http::awaitable<command_result> send(command_request command, dispatch::dispatch_permit permit,
+    /// `command` must live until the end.
+    http::awaitable<command_result> send(const command_request& command,
+                                         dispatch::dispatch_permit permit,
                                          base::time_point deadline);
 
 private:
+    void note_connect_failure(const configuration::replica& target, const base::error& reason,
+                              base::time_point start);
+    void note_exchange(const configuration::replica& target, const command_request& command,
+                       const std::optional<http::response>& reply, base::time_point start,
+                       command_result& result);
+
     // A connection that is ready for the command.
     struct ready_connection
     {
@@ -65,7 +83,8 @@
     http::awaitable<query::connection_pointer>
     acquire_open(query::connection_pool& pool, base::time_point deadline, base::error& reason);
     http::awaitable<command_result> exchange(const command_request& command,
-                                             dispatch::claim_handle claim, ready_connection ready,
+                                             dispatch::claim_handle claim,
+                                             const ready_connection& ready,
                                              base::time_point deadline);
 
     query::upstream_client& m_upstreams;
--- a/programs/entry/query_service.cpp
+++ b/programs/entry/query_service.cpp
@@ -58,8 +58,8 @@
         static_cast<std::uint32_t>(snapshot->shards().size()), budget.end(), reason);
     if (!place)
         co_return refuse(std::move(record), reason);
-    run_type::task task{record.request_id, std::move(*snapshot),
-                        std::make_shared<const std::string>(message.body()), start, budget.end()};
+    run_type::task task(record.request_id, std::move(*snapshot),
+                        std::make_shared<const std::string>(message.body()), start, budget.end());
     auto run = co_await run_once(task, *decisions, exchange);
     if (run->answers().is_missing_for(query::sub_result::version_not_held) && !run->is_cancelled())
     {
@@ -82,11 +82,10 @@
 }
 
 http::awaitable<std::shared_ptr<query_service::run_type>>
-query_service::run_once(run_type::task task, query_decisions decisions,
+query_service::run_once(const run_type::task& task, query_decisions decisions,
                         std::shared_ptr<http::exchange_context> exchange)
 {
-    auto run = run_type::create(m_context.upstreams, std::move(decisions), m_context.clock,
-                                std::move(task));
+    auto run = run_type::create(m_context.upstreams, std::move(decisions), m_context.clock, task);
     exchange->on_peer_gone([run] { run->cancel(); });
     co_await run->run();
     exchange->on_peer_gone(nullptr);
