--- a/programs/agent/record_writer.cpp
+++ b/programs/agent/record_writer.cpp
@@ -121,6 +121,12 @@
     return true;
 }
 
+void record_writer::log_failure(const std::string& key, const base::error& reason)
+{
+    m_events.write(observe::log_level::debug, "records_not_written", "",
+                   {{"key", key}, {"message", reason.message}});
+}
+
 // Returns false when the batch could not be written, or another write is under way.
 asio::awaitable<bool> record_writer::write_batch(std::chrono::steady_clock::time_point deadline)
 {
@@ -144,8 +150,7 @@
     // took effect and its answer was lost.
     if (status != platform::write_status::applied && status != platform::write_status::conflict)
     {
-        m_events.write(observe::log_level::debug, "records_not_written", "",
-                       {{"key", key}, {"message", reason.message}});
+        log_failure(key, reason);
         co_return false;
     }
     m_written.add(m_batch_count);
