Configuration: Keep aggregates out of coroutine frames

No failure of the executor was seen, also not under the address sanitizer.

The executor takes its arguments by reference, and the types that it keeps in its frames have constructors.

ctest of configuration and operators: 45 of 45 passed, in the plain and in the address,undefined build.

--- a/source/configuration/command_executor.hpp
+++ b/source/configuration/command_executor.hpp
@@ -32,6 +32,10 @@
 /// Where a command came from and what its VM knows.
 struct execution_context
 {
+    // Not an aggregate: GCC 12 copies aggregates in coroutine frames bytewise, which breaks short
+    // strings.
+    execution_context() = default;
+
     /// Written to the history.
     std::string operator_name;
     /// Answers inquiries, so that they work without the platform.
@@ -60,7 +64,10 @@
     /// when the command does not apply, conflict when somebody else changed the object first,
     /// unreachable, timeout or overloaded when nothing was written, and outcome_unknown when the
     /// write may or may not have taken effect.
-    http::awaitable<std::optional<Json::Value>> execute(std::string text, execution_context context,
+    /// `text` and `context` must outlive the call, and must be named objects: GCC 12 can destroy a
+    /// temporary argument of a co_await expression twice.
+    http::awaitable<std::optional<Json::Value>> execute(const std::string& text,
+                                                        const execution_context& context,
                                                         base::time_point deadline,
                                                         base::error& reason)
     {
@@ -110,6 +117,9 @@
     /// A conditional write of one object, and how to tell its effect.
     struct planned_write
     {
+        // Not an aggregate, for the same reason as execution_context.
+        planned_write() = default;
+
         std::string key;
         std::string value;
         std::uint64_t expected_version = 0;
@@ -143,7 +153,7 @@
     }
 
     http::awaitable<std::optional<Json::Value>> apply_changes(const change_set& changes,
-                                                              std::string operator_name,
+                                                              const std::string& operator_name,
                                                               base::time_point deadline,
                                                               base::error& reason)
     {
@@ -163,10 +173,9 @@
         plan.key = configuration_key;
         plan.expected_version = version;
         plan.token = m_tokens.next();
-        stored->record_change(std::move(*after), plan.token, std::move(operator_name),
-                              changes.changes);
+        stored->record_change(std::move(*after), plan.token, operator_name, changes.changes);
         plan.value = rpc::to_text(to_json(*stored));
-        co_return co_await write(std::move(plan), deadline, reason);
+        co_return co_await write(plan, deadline, reason);
     }
 
     http::awaitable<std::optional<Json::Value>> apply_publication(const publish_index& statement,
@@ -194,7 +203,7 @@
         if (!after)
             co_return std::nullopt;
         plan.value = rpc::to_text(to_json(*after));
-        co_return co_await write(std::move(plan), deadline, reason);
+        co_return co_await write(plan, deadline, reason);
     }
 
     static std::optional<index_state> read_index(const std::string& text, base::error& reason)
@@ -205,8 +214,8 @@
 
     // Writes until the outcome is known or the deadline passes. The same write is repeated from the
     // same version only, so that it takes effect at most once.
-    http::awaitable<std::optional<Json::Value>> write(planned_write plan, base::time_point deadline,
-                                                      base::error& reason)
+    http::awaitable<std::optional<Json::Value>>
+    write(const planned_write& plan, base::time_point deadline, base::error& reason)
     {
         if (plan.value.size() > platform::max_value_bytes)
             co_return base::fail(reason, base::error_kind::invalid_argument,
--- a/source/operators/live_inquiry_executor.hpp
+++ b/source/operators/live_inquiry_executor.hpp
@@ -45,11 +45,13 @@
 };
 
 /// Executes the text of one statement. The result is `{"results":[…]}` with a table, which has
-/// `missing` when VMs did not answer, or with `{"title":…,"lines":[…]}`.
+/// `missing` when VMs did not answer, or with `{"title":…,"lines":[…]}`. `text` must outlive the
+/// call, and must be a named object: GCC 12 can destroy a temporary argument of a co_await
+/// expression twice.
 template<live_source Source>
-http::awaitable<std::optional<Json::Value>> execute_live_inquiry(Source& source, std::string text,
-                                                                 base::time_point deadline,
-                                                                 base::error& reason)
+http::awaitable<std::optional<Json::Value>>
+execute_live_inquiry(Source& source, const std::string& text, base::time_point deadline,
+                     base::error& reason)
 {
     const auto parsed = parse_live_inquiry(text, reason);
     if (!parsed)
--- a/tests/unit/configuration_executor_test.cpp
+++ b/tests/unit/configuration_executor_test.cpp
@@ -154,6 +154,7 @@
     explicit operators(std::uint64_t seed, std::uint64_t fault_percent)
         : m_store(seed, fault_percent)
     {
+        m_execution_context.operator_name = "anna";
     }
 
     /// Runs each list of commands one after the other, and the lists concurrently.
@@ -201,7 +202,7 @@
     http::asio::io_context m_context;
     faulty_store m_store;
     base::identifier_factory m_tokens{{"vm-1", "riga-centrs", 1ms}};
-    execution_context m_execution_context{"anna", {}};
+    execution_context m_execution_context;
 };
 
 } // namespace
