--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -228,7 +228,7 @@
     stored["token"] = "initial";
     stored["configuration"] = document;
     stored["history"] = Json::arrayValue;
-    return document; // TEMP
+    return stored;
 }
 
 void test_cluster::start_agent(std::size_t index)
