Operators: Find refusals behind the library's text given twice

Cause: with the real agent, libjsonrpccpp adds its text for codes of its own both in the server and in the client, so that "invalid_argument" and "not_found" of an agent ended as outcome_unknown and protocol.

The kind may be one of the first three parts.

The codes of rpc_server still collide with the library's.

--- a/source/operators/agent_refusal.cpp
+++ b/source/operators/agent_refusal.cpp
@@ -22,8 +22,8 @@
 
 std::optional<base::error> refusal_from_text(const std::string& text)
 {
-    // The kind is the first or, after the library's text, the second part.
-    constexpr int max_parts = 2;
+    // The library's text precedes the kind up to twice: its server and its client each add it.
+    constexpr int max_parts = 3;
     std::string_view rest = text;
     for (int part = 0; part < max_parts; ++part)
     {
