Tests: Prove configuration and start-up under failure

Cause: the promise on configuration had unit tests only, and a VM whose agent had found no configuration reported ready and answered 404. Ruled out: asking the platform from the entry; the entry waits for its agent. Change: integration tests of configuration and start-up; the entry does not adopt configuration version 0. Conclusion: readiness now means that a configuration is in force.

--- a/programs/entry/agent_link.cpp
+++ b/programs/entry/agent_link.cpp
@@ -125,6 +125,8 @@
     }
     m_revision = view->revision;
     const auto adopted = m_views.adopt(std::move(*view), std::chrono::steady_clock::now());
+    if (!adopted)
+        return;
     m_log.write(observe::log_level::debug, "view_adopted", "",
                 {{"revision", adopted->revision},
                  {"configuration_version", adopted->configuration_version},
--- a/programs/entry/view_holder.cpp
+++ b/programs/entry/view_holder.cpp
@@ -17,6 +17,9 @@
                                                               base::time_point now)
 {
     const std::scoped_lock lock(m_mutex);
+    // Version 0 is an agent that has not found any configuration yet.
+    if (!m_view && candidate.configuration_version == 0)
+        return nullptr;
     if (m_view)
     {
         if (m_view->configuration_version > candidate.configuration_version)
--- a/programs/entry/view_holder.hpp
+++ b/programs/entry/view_holder.hpp
@@ -28,7 +28,8 @@
     std::shared_ptr<const configuration::view> current() const;
 
     /// Adopts a view, but keeps the configuration or any index of the one in use where that is
-    /// newer: an agent that restarted may know less than this entry. Returns the adopted view.
+    /// newer: an agent that restarted may know less than this entry. Returns the view in use; null
+    /// while no agent has had a configuration.
     std::shared_ptr<const configuration::view> adopt(configuration::view candidate,
                                                      base::time_point now);
 
--- a/tests/integration/child_process.cpp
+++ b/tests/integration/child_process.cpp
@@ -79,14 +79,28 @@
     return WIFSIGNALED(status) ? signal_base + WTERMSIG(status) : WEXITSTATUS(status);
 }
 
-std::string child_process::log_text() const
+namespace
+{
+
+std::string read_file(const std::string& name)
 {
-    std::ifstream file(m_log_file);
+    std::ifstream file(name);
     std::ostringstream text;
     text << file.rdbuf();
     return text.str();
 }
 
+} // namespace
+
+std::string child_process::log_text() const
+{
+    return read_file(m_log_file);
+}
+std::string child_process::output_text() const
+{
+    return read_file(m_log_file + ".out");
+}
+
 int child_process::id() const
 {
     return m_implementation->child.id();
--- a/tests/integration/child_process.hpp
+++ b/tests/integration/child_process.hpp
@@ -12,7 +12,7 @@
 namespace ospreystair::testing_support
 {
 
-/// Kills its process when it is destroyed. Standard error goes to a file.
+/// Kills its process when it is destroyed. Standard error and standard output go to files.
 class child_process
 {
 public:
@@ -29,6 +29,7 @@
     /// Returns the exit status (128 + number after a signal); empty when it still runs.
     std::optional<int> wait(std::chrono::milliseconds limit);
     std::string log_text() const;
+    std::string output_text() const;
     int id() const;
 
 private:
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -379,6 +379,38 @@
     return total;
 }
 
+std::unique_ptr<child_process>
+test_cluster::start_program(const std::string& program, const std::vector<std::string>& arguments)
+{
+    return start(program, program, arguments);
+}
+
+std::unique_ptr<child_process> test_cluster::start_operator(std::size_t vm_index,
+                                                            const std::string& command)
+{
+    return start("ospreystairctl", "operator",
+                 {"--agent", local(m_vms.at(vm_index).control_port), "--credential", "secret", "-c",
+                  command});
+}
+
+int test_cluster::run_operator(std::size_t vm_index, const std::string& command,
+                               std::string* output)
+{
+    const auto client = start_operator(vm_index, command);
+    const std::optional<int> status = client->wait(std::chrono::seconds{60});
+    if (output != nullptr)
+        *output = client->output_text() + client->log_text();
+    return status.value_or(-1);
+}
+
+std::uint64_t test_cluster::version_in_force(std::size_t vm_index, const std::string& service)
+{
+    const std::string id = query(vm_index, service, "version").header("X-Request-Id");
+    const test_reply record =
+        send_request(m_vms.at(vm_index).operator_port, get("/requests/" + id));
+    return record.json()["configuration_version"].asUInt64();
+}
+
 double test_cluster::entry_metric(std::size_t vm_index, const std::string& name)
 {
     std::istringstream lines(send_request(m_vms.at(vm_index).operator_port, get("/metrics")).body);
--- a/tests/integration/test_cluster.hpp
+++ b/tests/integration/test_cluster.hpp
@@ -91,6 +91,18 @@
     Json::Value upstream_counts();
     /// The total executions of a command over all replicas.
     int executions(const std::string& key);
+    /// Starts ospreystairctl with one command, sent to the agent of a VM.
+    std::unique_ptr<child_process> start_operator(std::size_t vm_index, const std::string& command);
+    /// Runs ospreystairctl to its end and returns its exit status; `output` receives what it
+    /// printed.
+    int run_operator(std::size_t vm_index, const std::string& command,
+                     std::string* output = nullptr);
+    /// The configuration version that a VM's entry uses for a query at this moment.
+    std::uint64_t version_in_force(std::size_t vm_index, const std::string& service);
+    /// Runs another program of the build, for example to see how it refuses its settings.
+    std::unique_ptr<child_process> start_program(const std::string& program,
+                                                 const std::vector<std::string>& arguments);
+
     /// Reads a counter of an entry's metrics; 0 when it is absent.
     double entry_metric(std::size_t vm_index, const std::string& name);
 
