--- /dev/null
+++ b/bench/cluster_bench.cpp
@@ -0,0 +1,262 @@
+// The tier's bounds, measured on real processes on loopback. Every figure is a ratio or a count
+// within one run, so that the machine's speed does not matter. Prints `name value bound pass|FALL`
+// and exits with 1 when a figure falls.
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "bench/load_run.hpp"
+
+namespace
+{
+
+using namespace ospreystair;
+using namespace std::chrono_literals;
+using bench::load_plan;
+using testing_support::cluster_plan;
+using testing_support::service_plan;
+using testing_support::test_cluster;
+
+/// Prints figures and remembers whether one fell.
+class report
+{
+public:
+    void at_most(const std::string& name, double value, double bound)
+    {
+        print(name, value, "<=", bound, value <= bound);
+    }
+
+    void at_least(const std::string& name, double value, double bound)
+    {
+        print(name, value, ">=", bound, value >= bound);
+    }
+
+    bool has_fallen() const { return m_has_fallen; }
+
+private:
+    void print(const std::string& name, double value, const char* relation, double bound,
+               bool is_kept)
+    {
+        m_has_fallen = m_has_fallen || !is_kept;
+        fmt::print("{} {:.4f} {}{:g} {}\n", name, value, relation, bound,
+                   is_kept ? "pass" : "FALL");
+        std::fflush(stdout);
+    }
+
+    bool m_has_fallen = false;
+};
+
+service_plan make_service(const std::string& name, int shards)
+{
+    service_plan plan;
+    plan.name = name;
+    plan.shards = shards;
+    return plan;
+}
+
+cluster_plan make_cluster(std::vector<service_plan> services)
+{
+    cluster_plan plan;
+    plan.services = std::move(services);
+    plan.data_centres = {"riga-centrs", "riga-purvciems", "riga-imanta"};
+    plan.log_level = "error";
+    plan.upstream_arguments = {"--record-limit", "0", "--threads", "3"};
+    return plan;
+}
+
+double ratio(double part, double whole)
+{
+    return whole > 0 ? part / whole : 0;
+}
+
+void print_context(const char* name, const Json::Value& load)
+{
+    fmt::print("# {}: offered {} answered {} whole {} refused {} failed {} goodput {:.1f}/s p50 "
+               "{:.1f} ms p99 {:.1f} ms\n",
+               name, load["offered"].asUInt64(), load["answered"].asUInt64(),
+               load["whole"].asUInt64(), load["refused"].asUInt64(), load["failed"].asUInt64(),
+               load["goodput_per_s"].asDouble(), load["latency_ms"]["p50"].asDouble(),
+               load["latency_ms"]["p99"].asDouble());
+}
+
+void check_limits(test_cluster& cluster, report& results, const std::string& name)
+{
+    results.at_most(name + "_connections_over_limit",
+                    bench::sum_counts(cluster, "", "connection_violations"), 0);
+    results.at_most(name + "_slots_over_limit", bench::sum_counts(cluster, "", "slot_violations"),
+                    0);
+}
+
+// (a) 1 in 100 sub-requests takes 20 times as long. Two services of one shape, one without hedges.
+void measure_stragglers(report& results)
+{
+    constexpr int shards = 20;
+    service_plan plain = make_service("plain", shards);
+    plain.hedge_percent = 0;
+    test_cluster cluster(make_cluster({make_service("hedged", shards), plain}));
+    cluster.control_upstreams(R"({"replicas":"all","set":{
+        "base_ms":5,"straggler_probability":0.01,"straggler_factor":20}})");
+    load_plan load;
+    load.service = "plain";
+    load.duration = 8s;
+    const Json::Value without = bench::run_load(cluster, load);
+    print_context("stragglers without hedges", without);
+    load.service = "hedged";
+    // Counted over the warm-up too, in which the hedging delay is still learnt.
+    const double before = bench::sum_counts(cluster, "hedged-", "requests");
+    const Json::Value with = bench::run_load(cluster, load);
+    print_context("stragglers with hedges", with);
+    const double requests = bench::sum_counts(cluster, "hedged", "requests") - before;
+    double hedges = 0;
+    double retries = 0;
+    for (std::size_t index = 0; index < cluster.vm_count(); ++index)
+    {
+        hedges += cluster.entry_metric(index, "ospreystair_hedges_total");
+        retries += cluster.entry_metric(index, "ospreystair_retries_total");
+    }
+    fmt::print("# hedges {} retries {} upstream requests {}\n", hedges, retries, requests);
+    results.at_most(
+        "stragglers_p99_against_no_hedging",
+        ratio(with["latency_ms"]["p99"].asDouble(), without["latency_ms"]["p99"].asDouble()), 0.4);
+    results.at_most("stragglers_extra_upstream_load", ratio(hedges, requests - hedges), 0.05);
+    results.at_least("stragglers_whole_answers",
+                     ratio(with["whole"].asDouble(), with["offered"].asDouble()), 1);
+    check_limits(cluster, results, "stragglers");
+}
+
+void set_mode(test_cluster& cluster, const std::vector<std::string>& replicas, const char* mode)
+{
+    std::string routes;
+    for (const std::string& name : replicas)
+        routes += fmt::format("{}\"{}\"", routes.empty() ? "" : ",", cluster.replica_address(name));
+    cluster.control_proxy(fmt::format(R"({{"routes":[{}],"set":{{"mode":"{}"}}}})", routes, mode));
+}
+
+// Whether an answer names exactly one missing shard and carries the answers of the others.
+bool is_truthful(const Json::Value& answer, int shards, const std::string& lost)
+{
+    const Json::Value& coverage = answer["coverage"];
+    if (coverage["shards"].asInt() != shards || coverage["answered"].asInt() != shards - 1 ||
+        coverage["missing"].size() != 1 || coverage["missing"][0]["shard"].asString() != lost ||
+        static_cast<int>(answer["answers"].size()) != shards - 1)
+        return false;
+    return std::none_of(answer["answers"].begin(), answer["answers"].end(),
+                        [&lost](const Json::Value& item)
+                        { return item["shard"].asString() == lost; });
+}
+
+// (b) One replica of every shard is cut off, then all replicas of one shard.
+void measure_losses(report& results)
+{
+    constexpr int shards = 20;
+    cluster_plan plan = make_cluster({make_service("search", shards)});
+    plan.use_proxy = true;
+    test_cluster cluster(plan);
+    cluster.control_upstreams(R"({"replicas":"all","set":{"base_ms":5}})");
+    load_plan load;
+    load.service = "search";
+    load.duration = 6s;
+    std::vector<std::string> one_of_each;
+    for (int shard = 0; shard < shards; ++shard)
+        one_of_each.push_back(test_cluster::replica_name("search", shard, shard % 2));
+    load_plan whole_load = load;
+    const Json::Value healthy = bench::run_load(cluster, whole_load);
+    print_context("all replicas", healthy);
+
+    const std::vector<std::string> lost = {test_cluster::replica_name("search", 7, 0),
+                                           test_cluster::replica_name("search", 7, 1)};
+    set_mode(cluster, lost, "cut");
+    load.warmup = 0ms;
+    const Json::Value partial = bench::run_load(cluster, load);
+    print_context("a shard lost", partial);
+    constexpr int samples = 200;
+    int truthful = 0;
+    for (int index = 0; index < samples; ++index)
+        truthful += is_truthful(
+            cluster.query(static_cast<std::size_t>(index) % cluster.vm_count(), "search", "q")
+                .json(),
+            shards, test_cluster::shard_name("search", 7));
+    results.at_least("shard_lost_answers_marked_partial",
+                     ratio(partial["partial"].asDouble(), partial["offered"].asDouble()), 1);
+    results.at_least("shard_lost_coverage_truthful", ratio(truthful, samples), 1);
+    results.at_most(
+        "shard_lost_p99_against_whole",
+        ratio(partial["latency_ms"]["p99"].asDouble(), healthy["latency_ms"]["p99"].asDouble()),
+        1.1);
+    set_mode(cluster, lost, "pass");
+
+    // Counted from the moment of the cut. The lost shard is admitted again before it.
+    const bool is_recovered = testing_support::wait_until(
+        10s, [&] { return cluster.query(0, "search", "q").header("X-Coverage") == "20/20"; });
+    fmt::print("# recovered after the shard's return: {}\n", is_recovered);
+    bench::run_load(cluster, whole_load);
+    set_mode(cluster, one_of_each, "cut");
+    const Json::Value reduced = bench::run_load(cluster, load);
+    print_context("a replica of each shard lost", reduced);
+    results.at_least("replicas_lost_whole_answers",
+                     ratio(reduced["whole"].asDouble(), reduced["offered"].asDouble()), 1);
+    check_limits(cluster, results, "losses");
+}
+
+// (c) Twice the load that the upstreams can carry.
+void measure_overload(report& results)
+{
+    constexpr int shards = 4;
+    constexpr double replicas = 2;
+    constexpr double slots = 2;
+    constexpr double service_seconds = 0.010;
+    constexpr double capacity = replicas * slots / service_seconds;
+    test_cluster cluster(make_cluster({make_service("busy", shards)}));
+    cluster.control_upstreams(R"({"replicas":"all","set":{"base_ms":10}})");
+    load_plan load;
+    load.service = "busy";
+    load.duration = 5s;
+    load.connections = 2000;
+    double peak = 0;
+    for (const double share : {0.8, 0.9, 1.0})
+    {
+        load.rate = capacity * share;
+        const Json::Value below = bench::run_load(cluster, load);
+        print_context(fmt::format("load of {:.1f} of capacity", share).c_str(), below);
+        peak = std::max(peak, below["goodput_per_s"].asDouble());
+    }
+    load.rate = capacity * 2;
+    load.warmup = 0ms;
+    const double before = bench::sum_counts(cluster, "busy", "requests");
+    const Json::Value above = bench::run_load(cluster, load);
+    print_context("load of 2.0 of capacity", above);
+    const double requests = bench::sum_counts(cluster, "busy", "requests") - before;
+    results.at_least("overload_goodput_against_peak",
+                     ratio(above["goodput_per_s"].asDouble(), peak), 0.95);
+    results.at_most("overload_refusal_median_ms", above["refusal_latency_ms"]["p50"].asDouble(), 5);
+    const double needed = above["answered"].asDouble() * shards;
+    double repeats = 0;
+    for (std::size_t index = 0; index < cluster.vm_count(); ++index)
+        for (const char* const name : {"ospreystair_hedges_total", "ospreystair_retries_total"})
+            repeats += cluster.entry_metric(index, name);
+    fmt::print("# hedges and retries since the start {}, upstream requests {} for {} needed\n",
+               repeats, requests, needed);
+    results.at_most("overload_extra_load", ratio(requests - needed, needed), 0.01);
+    results.at_most("overload_refusals_without_retry_after",
+                    above["refused_without_retry_after"].asDouble(), 0);
+    check_limits(cluster, results, "overload");
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    // The harness checks with GoogleTest that its processes start.
+    testing::InitGoogleTest(&argc, argv);
+    report results;
+    measure_stragglers(results);
+    measure_losses(results);
+    measure_overload(results);
+    if (testing::Test::HasFailure())
+        fmt::print("a process did not start or answer; see above\n");
+    return results.has_fallen() || testing::Test::HasFailure() ? 1 : 0;
+}
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -74,9 +74,10 @@
     for (std::size_t index = 0; index < m_vms.size(); ++index)
     {
         start_agent(index);
-        start_entry(index);
+        if (m_plan.has_entries)
+            start_entry(index);
     }
-    for (std::size_t index = 0; index < m_vms.size(); ++index)
+    for (std::size_t index = 0; m_plan.has_entries && index < m_vms.size(); ++index)
         EXPECT_TRUE(wait_until_ready(index)) << m_vms[index].entry->log_text();
 }
 
@@ -139,6 +140,11 @@
     return fmt::format("{}-s{}-r{}", service, shard, replica);
 }
 
+std::string test_cluster::replica_address(const std::string& replica_name) const
+{
+    return local(m_replica_ports.at(replica_name));
+}
+
 std::string test_cluster::shard_name(const std::string& service, int shard)
 {
     return fmt::format("{}-s{}", service, shard);
@@ -161,8 +167,11 @@
                     service.slots, service.connections);
             }
     m_upstream_control_port = next_port();
-    m_upstreams = start("standin-upstream", "upstreams",
-                        {"--replicas", replicas, "--control", local(m_upstream_control_port)});
+    std::vector<std::string> arguments = {"--replicas", replicas, "--control",
+                                          local(m_upstream_control_port)};
+    arguments.insert(arguments.end(), m_plan.upstream_arguments.begin(),
+                     m_plan.upstream_arguments.end());
+    m_upstreams = start("standin-upstream", "upstreams", arguments);
     EXPECT_TRUE(wait_until(
         start_limit, [this]
         { return send_request(m_upstream_control_port, get("/control/counts")).status == 200; }))
@@ -204,6 +213,7 @@
         entry["kind"] = service.kind;
         entry["prefer"] = service.prefer;
         entry["deadline_ms"] = service.deadline_ms;
+        entry["hedge_percent"] = service.hedge_percent;
         entry["shards"] = Json::arrayValue;
         for (int shard = 0; shard < service.shards; ++shard)
         {
@@ -365,6 +375,11 @@
     return send_request(m_platform_direct_port, get("/control/counts")).json();
 }
 
+Json::Value test_cluster::proxy_counts()
+{
+    return send_request(m_proxy_control_port, get("/control/counts")).json();
+}
+
 Json::Value test_cluster::upstream_counts()
 {
     return send_request(m_upstream_control_port, get("/control/counts")).json();
--- a/tests/integration/test_cluster.hpp
+++ b/tests/integration/test_cluster.hpp
@@ -28,6 +28,7 @@
     int connections = 25;
     std::string prefer = "coverage";
     int deadline_ms = 1000;
+    int hedge_percent = 5;
 };
 
 /// What a cluster consists of.
@@ -41,6 +42,10 @@
     /// Puts the fault proxy between entries and replicas, and between all and the platform.
     bool use_proxy = false;
     std::string log_level = "info";
+    /// Further arguments of the stand-in upstream.
+    std::vector<std::string> upstream_arguments = {};
+    /// Without entries only the agents run.
+    bool has_entries = true;
 };
 
 /// One VM: its processes and ports.
@@ -88,6 +93,7 @@
     test_reply control_upstreams(const std::string& json);
     test_reply control_proxy(const std::string& json);
     Json::Value platform_counts();
+    Json::Value proxy_counts();
     Json::Value upstream_counts();
     /// The total executions of a command over all replicas.
     int executions(const std::string& key);
@@ -102,6 +108,8 @@
     {
         return m_replica_ports.at(replica_name);
     }
+    /// The ip:port of a replica's route in the fault proxy.
+    std::string replica_address(const std::string& replica_name) const;
     int direct_replica_port(const std::string& name) const { return m_direct_ports.at(name); }
     int platform_port() const { return m_platform_port; }
     Json::Value make_configuration() const;
