--- a/programs/agent/agent_process.cpp
+++ b/programs/agent/agent_process.cpp
@@ -147,9 +147,14 @@
     co_await m_server->wait_until_idle(std::chrono::steady_clock::now() + request_stop_time);
     const bool is_flushed =
         co_await m_records->flush(std::chrono::steady_clock::now() + record_stop_time);
+    log_stopped(is_flushed);
+    m_context.stop();
+}
+
+void agent_process::log_stopped(bool is_flushed)
+{
     m_events.write(is_flushed ? log_level::info : log_level::warning, "stopped", "",
                    {{"records_flushed", is_flushed}});
-    m_context.stop();
 }
 
 } // namespace ospreystair::agent
--- a/programs/agent/platform_follower.cpp
+++ b/programs/agent/platform_follower.cpp
@@ -187,12 +187,18 @@
             continue;
         }
         m_seen_indexes[service] = object->version;
-        if (m_state.adopt_index(service, object->version, object->value, "platform"))
-            m_gossip.publish({item.key, object->version, m_state.index_text(service)});
+        adopt_index(service, *object);
     }
     co_return is_complete;
 }
 
+void platform_follower::adopt_index(const std::string& service,
+                                    const platform::stored_object& object)
+{
+    if (m_state.adopt_index(service, object.version, object.value, "platform"))
+        m_gossip.publish({index_prefix + service, object.version, m_state.index_text(service)});
+}
+
 asio::awaitable<void> platform_follower::follow_vms()
 {
     for (;;)
