--- a/programs/entry/admission_gate.cpp
+++ b/programs/entry/admission_gate.cpp
@@ -2,6 +2,7 @@
 
 #include "programs/entry/admission_gate.hpp"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -16,16 +17,35 @@
 // How often a waiting request is looked at: a refusal must not come only at the deadline.
 constexpr std::chrono::milliseconds check_interval{20};
 
+// Queries in flight per slot of the shard with the fewest slots. A query ends with its slowest
+// shard, so that slots of the others are free meanwhile: one query per slot does not use them all.
+// With many more the requests wait at the upstreams, which refuse what their queues don't hold.
+constexpr std::uint32_t queries_per_slot = 2;
+
+std::uint32_t bounded_concurrency(const configuration::service& service)
+{
+    std::uint32_t fewest_slots = service.max_concurrency;
+    for (const configuration::shard& shard : service.shards)
+    {
+        std::uint32_t slots = 0;
+        for (const configuration::replica& replica : shard.replicas)
+            slots += std::max<std::uint32_t>(1, replica.slots);
+        fewest_slots = std::min(fewest_slots, std::max<std::uint32_t>(1, slots));
+    }
+    return std::min(service.max_concurrency, fewest_slots * queries_per_slot);
+}
+
 } // namespace
 
-admission_ticket::admission_ticket(admission_gate& gate, std::string service, std::uint32_t cost)
-    : m_gate(&gate), m_service(std::move(service)), m_cost(cost)
+admission_ticket::admission_ticket(admission_gate& gate, std::string service, std::uint32_t cost,
+                                   bool has_waited)
+    : m_gate(&gate), m_service(std::move(service)), m_cost(cost), m_has_waited(has_waited)
 {
 }
 
 admission_ticket::admission_ticket(admission_ticket&& other) noexcept
     : m_gate(std::exchange(other.m_gate, nullptr)), m_service(std::move(other.m_service)),
-      m_cost(other.m_cost)
+      m_cost(other.m_cost), m_has_waited(other.m_has_waited)
 {
 }
 
@@ -50,18 +70,19 @@
 std::shared_ptr<admission_gate::limiter>
 admission_gate::find_limiter(const configuration::service& service)
 {
+    const std::uint32_t bound = bounded_concurrency(service);
     const auto make = [&]
     {
         admission::limiter_settings settings;
-        settings.max_concurrency = service.max_concurrency;
-        return limiter_entry{service.max_concurrency, std::make_shared<limiter>(m_clock, settings)};
+        settings.max_concurrency = bound;
+        return limiter_entry{bound, std::make_shared<limiter>(m_clock, settings)};
     };
     return m_limiters.update(service.name, make,
                              [&](limiter_entry& known)
                              {
-                                 if (known.max_concurrency != service.max_concurrency)
-                                     known.value->set_max_concurrency(service.max_concurrency);
-                                 known.max_concurrency = service.max_concurrency;
+                                 if (known.max_concurrency != bound)
+                                     known.value->set_max_concurrency(bound);
+                                 known.max_concurrency = bound;
                                  return known.value;
                              });
 }
@@ -81,7 +102,7 @@
     const std::shared_ptr<limiter> limit = find_limiter(service);
     // A newcomer must not pass those that wait.
     if (m_waiting_count.load() == 0 && limit->try_acquire())
-        co_return admission_ticket(*this, service.name, cost);
+        co_return admission_ticket(*this, service.name, cost, false);
     const auto executor = co_await asio::this_coro::executor;
     const auto own = std::make_shared<waiter>(executor);
     if (!wait_in_queue(own, service.name, caller, cost, deadline, reason))
@@ -95,7 +116,7 @@
         refuse_hopeless();
     }
     if (own->state.load() == waiter_state::admitted)
-        co_return admission_ticket(*this, service.name, cost);
+        co_return admission_ticket(*this, service.name, cost, true);
     explain_refusal(own->state.load(), reason);
     co_return std::nullopt;
 }
