--- a/programs/entry/agent_link.cpp
+++ b/programs/entry/agent_link.cpp
@@ -124,6 +124,10 @@
         return;
     }
     m_revision = view->revision;
+    // An agent that has just started may not have read the configuration yet. Its view would refuse
+    // every service as unknown, and make this VM ready.
+    if (view->configuration_version == 0 && !m_views.current())
+        return;
     const auto adopted = m_views.adopt(std::move(*view), std::chrono::steady_clock::now());
     m_log.write(observe::log_level::debug, "view_adopted", "",
                 {{"revision", adopted->revision},
--- a/programs/entry/entry_policy.cpp
+++ b/programs/entry/entry_policy.cpp
@@ -14,6 +14,26 @@
 // it shed more.
 constexpr std::chrono::milliseconds shed_memory{100};
 
+// The shortest time in which another replica can answer.
+constexpr std::chrono::milliseconds shortest_retry_time{1};
+
+// Whether a failure says nothing about load: the replica is gone or is the wrong one to ask. The
+// budget keeps retries from adding to an overload; after these failures it would only cost shards
+// that another replica can answer. Each replica is tried once, which bounds them.
+bool is_free_retry(query::sub_result result)
+{
+    switch (result)
+    {
+    case query::sub_result::unreachable:
+    case query::sub_result::version_not_held:
+    case query::sub_result::wrong_version:
+    case query::sub_result::wrong_shard:
+        return true;
+    default:
+        return false;
+    }
+}
+
 base::error_kind health_of(const query::sub_reply& reply)
 {
     switch (reply.result)
@@ -192,6 +212,9 @@
                                  const std::vector<std::string>& tried,
                                  const query::sub_reply& reply)
 {
+    if (is_free_retry(reply.result))
+        return m_deadline.left(m_owner->m_clock.now()) > shortest_retry_time &&
+               m_owner->m_selector.has_usable(shard, tried);
     base::error ignored;
     const base::duration expected =
         m_service->hedges.learnt_latency().value_or(base::duration::zero());
--- a/source/query/connection_pool.cpp
+++ b/source/query/connection_pool.cpp
@@ -54,6 +54,12 @@
     const auto self = shared_from_this();
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     std::shared_ptr<waiter> own;
+    // A cancellation before the wait would not end it.
+    if (cancel->is_cancelled())
+    {
+        base::fail(reason, base::error_kind::cancelled, "the request was cancelled");
+        co_return std::nullopt;
+    }
     {
         const std::scoped_lock lock(m_mutex);
         if (m_is_closed)
--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -186,7 +186,8 @@
         const auto executor = co_await http::asio::this_coro::executor;
         auto state = std::make_shared<shard_state>(executor);
         m_shards.push_back(state);
-        if (start_attempt(index, state, attempt_kind::first, "first attempt"))
+        // A query can end before its shards start: the caller left, or no time remains.
+        if (!m_is_stopped && start_attempt(index, state, attempt_kind::first, "first attempt"))
             co_await follow_attempts(index, state);
         for (const auto& item : state->active)
             item->cancel->cancel();
@@ -311,6 +312,9 @@
                                       std::shared_ptr<const sub_request> message)
     {
         const auto self = this->shared_from_this();
+        // The attempt can be given up between its start and this first step.
+        if (item->cancel->is_cancelled())
+            co_return;
         m_policy.begin(*item->target, item->record->kind);
         const base::time_point start = m_clock.now();
         sub_reply reply =
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -65,15 +65,12 @@
     return {value.data(), value.size()};
 }
 
-// An upstream reports some failures as a successful reply with an "error" member. A text search
-// avoids parsing the many replies that cannot have one.
-bool has_error_member(const std::string& body)
+// Each answer becomes part of the caller's document as it is, so that one that is not JSON would
+// spoil the answers of all shards.
+std::optional<Json::Value> parse_answer(const std::string& body)
 {
-    if (body.find("\"error\"") == std::string::npos)
-        return false;
     base::error ignored;
-    const auto document = rpc::parse_json(body, ignored);
-    return document && document->isObject() && document->isMember("error");
+    return rpc::parse_json(body, ignored);
 }
 
 } // namespace
@@ -230,7 +227,12 @@
                                         "dropped",
                                         header(reply, "X-Index-Version"), message.index_version));
     }
-    if (has_error_member(reply.body()))
+    const auto document = parse_answer(reply.body());
+    if (!document)
+        return make_failure(sub_result::failed, base::error_kind::protocol,
+                            "the replica's answer is not JSON; see its log");
+    // An upstream reports some failures as a successful reply with an "error" member.
+    if (document->isObject() && document->isMember("error"))
         return make_failure(sub_result::failed, base::error_kind::protocol,
                             "the replica's answer holds an error; see its log");
     return {sub_result::answered, reply.body(), {}};
