Query: Refuse answers that are not JSON

A 200 with a body that is not JSON was put into the caller's document and made the answers of all shards unreadable. Each answer is now parsed.

--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -3,14 +3,14 @@
 #include "query/upstream_client.hpp"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 
 #include <fmt/format.h>
 #include <json/json.h>
 
-#include "rpc/rpc_server.hpp"
-
 namespace ospreystair::query
 {
 
@@ -69,8 +69,30 @@
 // spoil the answers of all shards.
 std::optional<Json::Value> parse_answer(const std::string& body)
 {
-    base::error ignored;
-    return rpc::parse_json(body, ignored);
+    const auto make_reader = []
+    {
+        // Bounds the stack that a hostile or broken replica can use.
+        constexpr int max_depth = 128;
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["strictRoot"] = false;
+        builder["stackLimit"] = max_depth;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    };
+    // Making a reader takes several times as long as reading a small answer.
+    thread_local const std::unique_ptr<Json::CharReader> reader = make_reader();
+    Json::Value value;
+    std::string ignored;
+    try
+    {
+        if (reader->parse(body.data(), body.data() + body.size(), &value, &ignored))
+            return value;
+    }
+    catch (const Json::Exception&)
+    {
+        // Nested too deeply.
+    }
+    return std::nullopt;
 }
 
 } // namespace
--- /dev/null
+++ b/tests/unit/http_test.cpp
@@ -0,0 +1,444 @@
+// Tests of the HTTP server and client against bad input. ctest-label: concurrent
+
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "http/client_connection.hpp"
+#include "http/server.hpp"
+
+namespace ospreystair::http
+{
+
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr auto patience = 20s;
+
+// A blocking socket that sends what no proper client would.
+class raw_client
+{
+public:
+    explicit raw_client(const tcp::endpoint& address) : m_socket(m_context)
+    {
+        m_socket.connect(address);
+    }
+
+    // Returns whether all bytes were taken.
+    bool send(const std::string& bytes)
+    {
+        boost::system::error_code code;
+        asio::write(m_socket, asio::buffer(bytes), code);
+        return !code;
+    }
+
+    void end_sending()
+    {
+        boost::system::error_code ignored;
+        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+    }
+
+    // Reads until the other side closes.
+    std::string read_all()
+    {
+        std::string result;
+        std::array<char, 4096> part{};
+        boost::system::error_code code;
+        while (!code)
+            result.append(part.data(), m_socket.read_some(asio::buffer(part), code));
+        return result;
+    }
+
+private:
+    asio::io_context m_context;
+    tcp::socket m_socket;
+};
+
+std::string post(const std::string& body, const std::string& more_headers = "")
+{
+    return fmt::format("POST /echo HTTP/1.1\r\nHost: x\r\n{}Content-Length: {}\r\n\r\n{}",
+                       more_headers, body.size(), body);
+}
+
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (auto position = text.find(part); position != std::string::npos;
+         position = text.find(part, position + part.size()))
+        ++count;
+    return count;
+}
+
+// Threads that run an io_context for the life of the object.
+class context_threads
+{
+public:
+    context_threads()
+    {
+        for (int number = 0; number < 2; ++number)
+            m_threads.emplace_back([this] { m_context.run(); });
+    }
+    ~context_threads()
+    {
+        m_context.stop();
+        for (std::thread& item : m_threads)
+            item.join();
+    }
+    asio::io_context& context() { return m_context; }
+
+private:
+    asio::io_context m_context;
+    asio::executor_work_guard<asio::io_context::executor_type> m_work{m_context.get_executor()};
+    std::vector<std::thread> m_threads;
+};
+
+// A server that answers with the body it got, counts the requests that reach its handler, and a
+// client beside the bad ones.
+class echo_server
+{
+public:
+    static constexpr std::size_t max_body_bytes = 64 << 10;
+    static constexpr std::uint32_t max_header_bytes = 4 << 10;
+
+    explicit echo_server(std::chrono::milliseconds receive_timeout = 60s,
+                         std::size_t max_connections = 64)
+    {
+        server_options options;
+        options.address = make_endpoint("127.0.0.1", 0);
+        options.max_body_bytes = max_body_bytes;
+        options.max_header_bytes = max_header_bytes;
+        options.receive_timeout = receive_timeout;
+        options.max_connections = max_connections;
+        base::error reason;
+        const auto echo = [this](const request& message,
+                                 std::shared_ptr<exchange_context>) -> awaitable<response>
+        {
+            handled.fetch_add(1);
+            co_return make_text_response(status::ok, message.body());
+        };
+        m_server = server::create(m_threads.context(), options, echo, reason).value_or(nullptr);
+        EXPECT_TRUE(m_server) << reason.message;
+    }
+
+    tcp::endpoint address() const { return m_server->address(); }
+    server& get() { return *m_server; }
+
+    // Whether a proper request on a new connection is answered.
+    bool answers_others()
+    {
+        const std::string text = fmt::format("unharmed {}", ++m_probe);
+        raw_client client(address());
+        return client.send(post(text, "Connection: close\r\n")) &&
+               client.read_all().find(text) != std::string::npos;
+    }
+
+    bool has_connections(std::size_t count)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (m_server->connection_count() != count && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(1ms);
+        return m_server->connection_count() == count;
+    }
+
+    std::atomic<int> handled{0};
+
+private:
+    std::shared_ptr<server> m_server;
+    int m_probe = 0;
+    // Last, so that no handler runs when the members above are destroyed.
+    context_threads m_threads;
+};
+
+} // namespace
+
+// Guards against a crash, a leak or a call of the handler on bytes that are not HTTP.
+RC_GTEST_PROP(server_test, random_bytes_are_refused_and_others_are_unharmed, ())
+{
+    static echo_server server;
+    const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    const int before = server.handled.load();
+    {
+        raw_client client(server.address());
+        client.send(bytes + "\r\n\r\n");
+        client.end_sending();
+        const std::string reply = client.read_all();
+        RC_ASSERT(reply.empty() || reply.rfind("HTTP/1.1 400", 0) == 0 ||
+                  reply.rfind("HTTP/1.1 431", 0) == 0);
+    }
+    RC_ASSERT(server.handled.load() == before);
+    RC_ASSERT(server.answers_others());
+    RC_ASSERT(server.has_connections(0));
+}
+
+// Guards against a truncated request that is run as if it were whole.
+RC_GTEST_PROP(server_test, request_cut_anywhere_never_reaches_the_handler, ())
+{
+    static echo_server server;
+    const std::string whole = post("a body of some length", "X-Deadline-Ms: 100\r\n");
+    const auto length = *rc::gen::inRange<std::size_t>(0, whole.size());
+    const int before = server.handled.load();
+    {
+        raw_client client(server.address());
+        client.send(whole.substr(0, length));
+        client.end_sending();
+        const std::string reply = client.read_all();
+        RC_ASSERT(reply.empty() || reply.rfind("HTTP/1.1 400", 0) == 0);
+    }
+    RC_ASSERT(server.handled.load() == before);
+    RC_ASSERT(server.has_connections(0));
+    RC_ASSERT(server.get().request_count() == 0U);
+}
+
+// Guards against headers that grow without bound.
+TEST(server_test, headers_beyond_the_limit_are_refused_with_431)
+{
+    echo_server server;
+    raw_client client(server.address());
+    client.send("POST /echo HTTP/1.1\r\nHost: x\r\nX-Long: " +
+                std::string(2 * echo_server::max_header_bytes, 'a') + "\r\n\r\n");
+    EXPECT_EQ(client.read_all().rfind("HTTP/1.1 431", 0), 0U);
+    EXPECT_EQ(server.handled.load(), 0);
+    EXPECT_TRUE(server.answers_others());
+}
+
+// Guards against bodies that grow without bound, with the length given and without.
+TEST(server_test, bodies_beyond_the_limit_are_refused_with_413)
+{
+    echo_server server;
+    for (const bool is_chunked : {false, true})
+    {
+        raw_client client(server.address());
+        const std::size_t size = 2 * echo_server::max_body_bytes;
+        client.send(
+            is_chunked ? fmt::format("POST /echo HTTP/1.1\r\nHost: x\r\n"
+                                     "Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}",
+                                     size, std::string(size / 4, 'a'))
+                       : fmt::format("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: {}\r\n\r\n",
+                                     size));
+        EXPECT_EQ(client.read_all().rfind("HTTP/1.1 413", 0), 0U) << is_chunked;
+    }
+    EXPECT_EQ(server.handled.load(), 0);
+    EXPECT_TRUE(server.answers_others());
+}
+
+// Guards against a caller that still sends when its refusal comes, and loses it in a reset.
+TEST(server_test, caller_that_sends_a_whole_oversized_body_still_reads_its_refusal)
+{
+    echo_server server;
+    raw_client client(server.address());
+    client.send(post(std::string(16 * echo_server::max_body_bytes, 'a')));
+    EXPECT_EQ(client.read_all().rfind("HTTP/1.1 413", 0), 0U);
+    EXPECT_EQ(server.handled.load(), 0);
+}
+
+// Guards against senders that hold a connection for as long as they like, one byte at a time.
+TEST(server_test, sender_slower_than_the_time_for_a_request_is_disconnected)
+{
+    echo_server server(200ms);
+    raw_client slow(server.address());
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (slow.send("P") && std::chrono::steady_clock::now() < end)
+    {
+        EXPECT_TRUE(server.answers_others());
+        std::this_thread::sleep_for(20ms);
+    }
+    EXPECT_LT(std::chrono::steady_clock::now(), end);
+    EXPECT_TRUE(server.has_connections(0));
+}
+
+// Guards against answers that are lost, doubled or reordered when requests come in one segment.
+TEST(server_test, pipelined_requests_are_answered_in_order)
+{
+    echo_server server;
+    constexpr int count = 200;
+    std::string bytes;
+    for (int number = 0; number < count; ++number)
+        bytes +=
+            post(fmt::format("<{}>", number), number + 1 == count ? "Connection: close\r\n" : "");
+    raw_client client(server.address());
+    std::thread writer([&] { client.send(bytes); });
+    const std::string replies = client.read_all();
+    writer.join();
+    EXPECT_EQ(count_of(replies, "HTTP/1.1 200"), std::size_t{count});
+    std::size_t position = 0;
+    for (int number = 0; number < count; ++number)
+    {
+        position = replies.find(fmt::format("<{}>", number), position);
+        ASSERT_NE(position, std::string::npos) << number;
+    }
+    EXPECT_EQ(server.handled.load(), count);
+}
+
+// Guards against bytes after a bad request that are run on the same connection.
+TEST(server_test, request_after_a_malformed_one_is_not_run)
+{
+    echo_server server;
+    raw_client client(server.address());
+    client.send("nonsense\r\n\r\n" + post("smuggled"));
+    const std::string reply = client.read_all();
+    EXPECT_EQ(reply.rfind("HTTP/1.1 400", 0), 0U) << reply;
+    EXPECT_EQ(count_of(reply, "HTTP/1.1 400"), 1U) << reply;
+    EXPECT_EQ(count_of(reply, "Content-Length"), 1U) << reply;
+    EXPECT_EQ(count_of(reply, "smuggled"), 0U) << reply;
+    EXPECT_EQ(server.handled.load(), 0);
+}
+
+// Guards against two readings of where a request ends.
+TEST(server_test, request_with_length_and_chunks_is_not_run)
+{
+    echo_server server;
+    raw_client client(server.address());
+    client.send("POST /echo HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n"
+                "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" +
+                post("smuggled", "Connection: close\r\n"));
+    client.end_sending();
+    EXPECT_EQ(client.read_all().rfind("HTTP/1.1 400", 0), 0U);
+    EXPECT_EQ(server.handled.load(), 0);
+}
+
+// Guards against connections without bound, and against places that are not freed.
+TEST(server_test, connections_beyond_the_limit_are_closed_and_places_are_freed)
+{
+    constexpr std::size_t limit = 8;
+    echo_server server(60s, limit);
+    {
+        std::vector<std::unique_ptr<raw_client>> clients;
+        for (std::size_t number = 0; number < limit; ++number)
+            clients.push_back(std::make_unique<raw_client>(server.address()));
+        EXPECT_TRUE(server.has_connections(limit));
+        raw_client surplus(server.address());
+        EXPECT_EQ(surplus.read_all(), "");
+        EXPECT_TRUE(server.has_connections(limit));
+    }
+    EXPECT_TRUE(server.has_connections(0));
+    EXPECT_TRUE(server.answers_others());
+}
+
+// Lets a client exchange one request with a peer that replies with given bytes.
+class client_connection_test : public testing::Test
+{
+protected:
+    struct ending
+    {
+        std::optional<response> reply;
+        base::error reason;
+        bool is_open = true;
+        std::chrono::steady_clock::duration taken{};
+    };
+
+    // `closes`: the peer closes after its bytes; otherwise it stays silent.
+    ending exchange(const std::string& bytes, bool closes, std::chrono::milliseconds time = 10s)
+    {
+        asio::io_context peer_context;
+        tcp::acceptor acceptor(peer_context, make_endpoint("127.0.0.1", 0));
+        std::promise<void> finished;
+        std::thread peer(
+            [&]
+            {
+                tcp::socket socket = acceptor.accept();
+                std::array<char, 4096> part{};
+                boost::system::error_code ignored;
+                socket.read_some(asio::buffer(part), ignored);
+                asio::write(socket, asio::buffer(bytes), ignored);
+                if (!closes)
+                    finished.get_future().wait();
+            });
+        ending result;
+        asio::io_context context;
+        const tcp::endpoint address = acceptor.local_endpoint();
+        const auto work = [&]() -> awaitable<void>
+        {
+            const auto start = std::chrono::steady_clock::now();
+            const auto deadline = start + time;
+            auto connection =
+                co_await client_connection::connect(context, address, deadline, result.reason);
+            if (!connection)
+                co_return;
+            auto message = std::make_shared<request>(verb::get, "/", 11);
+            exchange_progress progress{};
+            result.reply =
+                co_await (*connection)->exchange(message, deadline, progress, result.reason);
+            result.is_open = (*connection)->is_open();
+            result.taken = std::chrono::steady_clock::now() - start;
+            (*connection)->close();
+        };
+        asio::co_spawn(context, work, asio::detached);
+        context.run();
+        finished.set_value();
+        peer.join();
+        return result;
+    }
+};
+
+// Guards against a crash or an untyped failure on bytes that are not HTTP.
+RC_GTEST_FIXTURE_PROP(client_connection_test, random_bytes_fail_with_a_typed_error, ())
+{
+    const auto bytes = *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+    const ending result = exchange(bytes, true);
+    RC_ASSERT(!result.reply);
+    RC_ASSERT(!result.is_open);
+    RC_ASSERT(result.reason.kind == base::error_kind::protocol ||
+              result.reason.kind == base::error_kind::unreachable);
+    RC_ASSERT(!result.reason.message.empty());
+}
+
+// Guards against a truncated reply that is taken for a whole one.
+RC_GTEST_FIXTURE_PROP(client_connection_test, reply_cut_anywhere_is_not_taken, ())
+{
+    const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n{\"echo\":\"x\"}";
+    const auto length = *rc::gen::inRange<std::size_t>(0, whole.size());
+    const ending result = exchange(whole.substr(0, length), true);
+    RC_ASSERT(!result.reply);
+    RC_ASSERT(!result.is_open);
+}
+
+// Guards against replies that grow without bound.
+TEST_F(client_connection_test, reply_beyond_the_limit_fails_with_protocol)
+{
+    const ending result = exchange(fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+                                               2 * client_connection::max_reply_bytes),
+                                   false);
+    EXPECT_FALSE(result.reply);
+    EXPECT_EQ(result.reason.kind, base::error_kind::protocol) << result.reason.message;
+    EXPECT_FALSE(result.is_open);
+}
+
+// Guards against headers of a reply that grow without bound.
+TEST_F(client_connection_test, reply_headers_beyond_the_limit_fail_with_protocol)
+{
+    const ending result =
+        exchange("HTTP/1.1 200 OK\r\nX-Long: " + std::string(1 << 20, 'a'), false);
+    EXPECT_FALSE(result.reply);
+    EXPECT_EQ(result.reason.kind, base::error_kind::protocol) << result.reason.message;
+}
+
+// Guards against a peer that stays silent in the middle of its reply.
+TEST_F(client_connection_test, reply_that_stops_in_the_middle_fails_with_timeout)
+{
+    const ending result =
+        exchange("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nabc", false, 200ms);
+    EXPECT_FALSE(result.reply);
+    EXPECT_EQ(result.reason.kind, base::error_kind::timeout) << result.reason.message;
+    EXPECT_FALSE(result.is_open);
+    EXPECT_LT(result.taken, patience);
+}
+
+// Guards against a second reply that the next request on the connection would take for its own.
+TEST_F(client_connection_test, bytes_after_the_reply_close_the_connection)
+{
+    const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    const ending result = exchange(reply + reply, false);
+    ASSERT_TRUE(result.reply);
+    EXPECT_EQ(result.reply->body(), "ok");
+    EXPECT_FALSE(result.is_open);
+}
+
+} // namespace ospreystair::http
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -99,8 +99,7 @@
         return result;
     };
     const auto configured = pick(*rc::gen::arbitrary<std::vector<std::uint8_t>>());
-    const auto indexed =
-        pick(*rc::gen::nonEmpty(rc::gen::arbitrary<std::vector<std::uint8_t>>()));
+    const auto indexed = pick(*rc::gen::nonEmpty(rc::gen::arbitrary<std::vector<std::uint8_t>>()));
     std::vector<std::string> names;
     for (const int number : configured)
         names.push_back(fmt::format("s{}", number));
