--- a/programs/entry/agent_link.cpp
+++ b/programs/entry/agent_link.cpp
@@ -124,6 +124,10 @@
         return;
     }
     m_revision = view->revision;
+    // An agent that has not read the platform yet knows no service. Serving with that view would
+    // refuse callers of existing services as "not found".
+    if (view->configuration_version == 0 && !m_views.current())
+        return;
     const auto adopted = m_views.adopt(std::move(*view), std::chrono::steady_clock::now());
     m_log.write(observe::log_level::debug, "view_adopted", "",
                 {{"revision", adopted->revision},
--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -35,14 +35,15 @@
     return reply[name] == "true";
 }
 
-// Only a reply to this very request says anything about it.
+// Only a reply to this very request says anything about it. Upstreams refuse without repeating the
+// request's id; such a refusal belongs to this request, because the connection carries no other.
 dispatch::outcome outcome_of(const command_request& command, const http::response& reply)
 {
-    if (reply["X-Request-Id"] != command.request_id)
-        return dispatch::outcome::unknown;
-    if (is_true(reply, "X-Not-Run"))
+    const auto request_id = reply["X-Request-Id"];
+    const bool is_own = request_id == command.request_id;
+    if (is_true(reply, "X-Not-Run") && (is_own || request_id.empty()))
         return dispatch::outcome::not_run;
-    if (reply.result() == http::status::ok)
+    if (is_own && reply.result() == http::status::ok)
         return dispatch::outcome::ran;
     return dispatch::outcome::unknown;
 }
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -53,6 +53,12 @@
     allocate_ports();
     m_platform_direct_port = next_port();
     m_platform_port = m_plan.use_proxy ? next_port() : m_platform_direct_port;
+    if (m_plan.use_proxy && m_plan.has_platform_route_per_vm)
+        for (std::size_t index = 0;
+             index <
+             m_plan.data_centres.size() * static_cast<std::size_t>(m_plan.vms_per_data_centre);
+             ++index)
+            m_vm_platform_ports.push_back(next_port());
     start_upstreams();
     if (m_plan.use_proxy)
         start_proxy();
@@ -173,6 +179,8 @@
 {
     std::string routes =
         fmt::format("{}={}", local(m_platform_port), local(m_platform_direct_port));
+    for (const int port : m_vm_platform_ports)
+        routes += fmt::format(";{}={}", local(port), local(m_platform_direct_port));
     for (const auto& [name, port] : m_direct_ports)
         routes += fmt::format(";{}={}", local(m_replica_ports.at(name)), local(port));
     m_proxy_control_port = next_port();
@@ -245,7 +253,7 @@
                                           "--control-address",
                                           local(item.control_port),
                                           "--platform-addresses",
-                                          local(m_platform_port),
+                                          local(platform_port_of(index)),
                                           "--operator-credential",
                                           "secret",
                                           "--log-level",
@@ -258,13 +266,13 @@
 void test_cluster::start_entry(std::size_t index)
 {
     test_vm& item = m_vms.at(index);
-    item.entry =
-        start("ospreystair-entry", "entry-" + item.name,
-              {"--vm", item.name, "--data-centre", item.data_centre, "--caller-address",
-               local(item.caller_port), "--operator-address", local(item.operator_port),
-               "--agent-address", local(item.control_port), "--platform", local(m_platform_port),
-               "--drain-delay", std::to_string(m_plan.drain_delay_ms), "--threads",
-               std::to_string(m_plan.threads), "--log-level", m_plan.log_level});
+    item.entry = start("ospreystair-entry", "entry-" + item.name,
+                       {"--vm", item.name, "--data-centre", item.data_centre, "--caller-address",
+                        local(item.caller_port), "--operator-address", local(item.operator_port),
+                        "--agent-address", local(item.control_port), "--platform",
+                        local(platform_port_of(index)), "--drain-delay",
+                        std::to_string(m_plan.drain_delay_ms), "--threads",
+                        std::to_string(m_plan.threads), "--log-level", m_plan.log_level});
 }
 
 bool test_cluster::wait_until_ready(std::size_t index)
--- a/tests/integration/test_cluster.hpp
+++ b/tests/integration/test_cluster.hpp
@@ -40,6 +40,8 @@
     int threads = 2;
     /// Puts the fault proxy between entries and replicas, and between all and the platform.
     bool use_proxy = false;
+    /// With the proxy: gives each VM its own route to the platform, so that one can be cut off.
+    bool has_platform_route_per_vm = false;
     std::string log_level = "info";
 };
 
@@ -104,6 +106,11 @@
     }
     int direct_replica_port(const std::string& name) const { return m_direct_ports.at(name); }
     int platform_port() const { return m_platform_port; }
+    /// The port at which one VM reaches the platform.
+    int platform_port_of(std::size_t vm_index) const
+    {
+        return m_vm_platform_ports.empty() ? m_platform_port : m_vm_platform_ports.at(vm_index);
+    }
     Json::Value make_configuration() const;
 
 private:
@@ -123,6 +130,8 @@
     int m_log_count = 0;
     int m_platform_port = 0;
     int m_platform_direct_port = 0;
+    // Empty unless each VM has its own route.
+    std::vector<int> m_vm_platform_ports;
     int m_upstream_control_port = 0;
     int m_proxy_control_port = 0;
     std::map<std::string, int> m_replica_ports;
