--- a/programs/entry/agent_link.cpp
+++ b/programs/entry/agent_link.cpp
@@ -59,7 +59,7 @@
         ask_for_view();
         hand_over();
         // Connection shares and drains change with time also when the view does not.
-        const auto view = m_views.current();
+        const auto view = m_views.expire_drains(std::chrono::steady_clock::now());
         if (view && std::chrono::steady_clock::now() >= next_refresh)
         {
             m_on_view(view);
--- a/programs/entry/view_holder.cpp
+++ b/programs/entry/view_holder.cpp
@@ -2,6 +2,7 @@
 
 #include "programs/entry/view_holder.hpp"
 
+#include <set>
 #include <utility>
 
 namespace ospreystair::entry
@@ -31,8 +32,13 @@
                 position->second = state;
         }
     }
-    std::erase_if(m_own_drains, [now](const auto& item) { return item.second <= now; });
-    for (const auto& [name, end] : m_own_drains)
+    for (auto& [name, drain] : m_own_drains)
+        if (candidate.draining.contains(name))
+            drain.is_in_news = true;
+        else if (drain.is_in_news)
+            drain.end = now;
+    std::erase_if(m_own_drains, [now](const auto& item) { return item.second.end <= now; });
+    for (const auto& [name, drain] : m_own_drains)
         candidate.draining.insert(name);
     m_view = std::make_shared<const configuration::view>(std::move(candidate));
     return m_view;
@@ -41,8 +47,11 @@
 void view_holder::mark_draining(const std::string& replica_name, base::time_point now)
 {
     const std::scoped_lock lock(m_mutex);
-    m_own_drains[replica_name] = now + drain_memory;
-    if (!m_view || m_view->draining.contains(replica_name))
+    const bool is_in_view = m_view && m_view->draining.contains(replica_name);
+    // A drain that is in the view without having been seen here comes from the agent.
+    const auto position = m_own_drains.try_emplace(replica_name, own_drain{now, is_in_view}).first;
+    position->second.end = now + drain_memory;
+    if (!m_view || is_in_view)
         return;
     configuration::view changed = *m_view;
     changed.draining.insert(replica_name);
@@ -50,6 +59,23 @@
     m_new_drains.push_back(replica_name);
 }
 
+std::shared_ptr<const configuration::view> view_holder::expire_drains(base::time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::set<std::string> over;
+    for (const auto& [name, drain] : m_own_drains)
+        if (drain.end <= now && !drain.is_in_news)
+            over.insert(name);
+    std::erase_if(m_own_drains, [now](const auto& item) { return item.second.end <= now; });
+    if (!m_view || over.empty())
+        return m_view;
+    configuration::view changed = *m_view;
+    for (const std::string& name : over)
+        changed.draining.erase(name);
+    m_view = std::make_shared<const configuration::view>(std::move(changed));
+    return m_view;
+}
+
 std::vector<std::string> view_holder::take_new_drains()
 {
     const std::scoped_lock lock(m_mutex);
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -74,7 +74,8 @@
     int upstream_requests()
     {
         int total = 0;
-        for (const Json::Value& replica : m_cluster.upstream_counts()["replicas"])
+        const Json::Value counts = m_cluster.upstream_counts();
+        for (const Json::Value& replica : counts["replicas"])
             total += replica["requests"].asInt();
         return total;
     }
