--- a/bench/cluster_bench.cpp
+++ b/bench/cluster_bench.cpp
@@ -74,6 +74,14 @@
     return whole > 0 ? part / whole : 0;
 }
 
+double sum_metric(test_cluster& cluster, const std::string& name)
+{
+    double sum = 0;
+    for (std::size_t index = 0; index < cluster.vm_count(); ++index)
+        sum += cluster.entry_metric(index, name);
+    return sum;
+}
+
 void print_context(const char* name, const Json::Value& load)
 {
     fmt::print("# {}: offered {} answered {} whole {} refused {} failed {} goodput {:.1f}/s p50 "
@@ -114,13 +122,8 @@
     print_context("stragglers without hedges", without);
     print_context("stragglers with hedges", with);
     const double requests = bench::sum_counts(cluster, "hedged", "requests") - before;
-    double hedges = 0;
-    double retries = 0;
-    for (std::size_t index = 0; index < cluster.vm_count(); ++index)
-    {
-        hedges += cluster.entry_metric(index, "ospreystair_hedges_total");
-        retries += cluster.entry_metric(index, "ospreystair_retries_total");
-    }
+    const double hedges = sum_metric(cluster, "ospreystair_hedges_total");
+    const double retries = sum_metric(cluster, "ospreystair_retries_total");
     fmt::print("# hedges {} retries {} upstream requests {}\n", hedges, retries, requests);
     results.at_most(
         "stragglers_p99_against_no_hedging",
@@ -222,28 +225,29 @@
     load.duration = 5s;
     load.connections = 2000;
     double peak = 0;
-    for (const double share : {0.8, 0.9, 1.0})
+    for (const double share : {0.8, 0.9, 1.0, 1.2})
     {
         load.rate = capacity * share;
         const Json::Value below = bench::run_load(cluster, load);
         print_context(fmt::format("load of {:.1f} of capacity", share).c_str(), below);
         peak = std::max(peak, below["goodput_per_s"].asDouble());
     }
+    // The warm-up fills the queues. Without it the answers that come after the schedule's end would
+    // count in its time, which raises the goodput of an overload by a tenth.
     load.rate = capacity * 2;
-    load.warmup = 0ms;
+    load.warmup = 2s;
+    const double answered_before = sum_metric(cluster, "ospreystair_queries_answered_total");
     const double before = bench::sum_counts(cluster, "busy", "requests");
     const Json::Value above = bench::run_load(cluster, load);
     print_context("load of 2.0 of capacity", above);
     const double requests = bench::sum_counts(cluster, "busy", "requests") - before;
-    print_context("load of 2.0 of capacity, next 5 s", bench::run_load(cluster, load));
+    const double needed =
+        (sum_metric(cluster, "ospreystair_queries_answered_total") - answered_before) * shards;
     results.at_least("overload_goodput_against_peak",
                      ratio(above["goodput_per_s"].asDouble(), peak), 0.95);
     results.at_most("overload_refusal_median_ms", above["refusal_latency_ms"]["p50"].asDouble(), 5);
-    const double needed = above["answered"].asDouble() * shards;
-    double repeats = 0;
-    for (std::size_t index = 0; index < cluster.vm_count(); ++index)
-        for (const char* const name : {"ospreystair_hedges_total", "ospreystair_retries_total"})
-            repeats += cluster.entry_metric(index, name);
+    const double repeats = sum_metric(cluster, "ospreystair_hedges_total") +
+                           sum_metric(cluster, "ospreystair_retries_total");
     fmt::print("# hedges and retries since the start {}, upstream requests {} for {} needed\n",
                repeats, requests, needed);
     results.at_most("overload_extra_load", ratio(requests - needed, needed), 0.01);
