Chaos: Add a seeded run of faults that checks the guarantees

Cause: single-fault tests don't show faults that come together or twice. The schedule depends on the seed only.

--- /dev/null
+++ b/tests/chaos/chaos_run.cpp
@@ -0,0 +1,274 @@
+// Runs a small system under callers and a seeded schedule of faults, and checks the guarantees. The
+// seed determines the schedule; the interleaving with the callers differs from run to run.
+
+#include <algorithm>
+#include <cstdio>
+#include <iostream>
+#include <thread>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "settings/option_table.hpp"
+#include "tests/chaos/caller_load.hpp"
+#include "tests/chaos/chaos_system.hpp"
+
+namespace ospreystair::chaos
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+// The promised bound for new work at an upstream that is leaving.
+constexpr std::int64_t drain_limit_ms = 3000;
+constexpr std::size_t max_keys_repeated = 60;
+constexpr std::size_t max_violations_printed = 5;
+
+struct run_settings
+{
+    std::uint64_t seed = 0;
+    milliseconds duration{0};
+};
+
+std::optional<run_settings> read_settings(int argc, const char** argv, base::error& reason)
+{
+    const std::vector<settings::option> options{
+        {"seed", "Seed of the schedule", "1"},
+        {"minutes", "Length of the run in minutes", "0"},
+        {"seconds", "Length of the run in seconds, added to the minutes", "0"}};
+    const auto table = settings::option_table::create(
+        "chaos_run", "Checks the guarantees under a seeded schedule of faults.", options, argc,
+        argv, reason);
+    if (!table)
+        return std::nullopt;
+    const auto seed = table->number("seed", 0, UINT64_MAX, reason);
+    const auto minutes = table->number("minutes", 0, 600, reason);
+    const auto seconds = table->number("seconds", 0, 36'000, reason);
+    if (!seed || !minutes || !seconds)
+        return std::nullopt;
+    milliseconds duration = std::chrono::minutes(static_cast<std::int64_t>(*minutes)) +
+                            std::chrono::seconds(static_cast<std::int64_t>(*seconds));
+    if (duration.count() == 0)
+        duration = std::chrono::minutes{1};
+    return run_settings{*seed, duration};
+}
+
+// Begins and ends each fault at its time.
+void play(chaos_system& system, const std::vector<scheduled_fault>& schedule, milliseconds duration)
+{
+    struct step
+    {
+        milliseconds when;
+        const scheduled_fault* fault;
+        bool is_end;
+    };
+    std::vector<step> steps;
+    for (const scheduled_fault& fault : schedule)
+    {
+        steps.push_back({fault.start, &fault, false});
+        steps.push_back({fault.end(), &fault, true});
+    }
+    std::stable_sort(steps.begin(), steps.end(),
+                     [](const step& left, const step& right) { return left.when < right.when; });
+    const auto start = std::chrono::steady_clock::now();
+    for (const step& item : steps)
+    {
+        std::this_thread::sleep_until(start + item.when);
+        if (item.is_end)
+            system.lift(*item.fault);
+        else
+            system.apply(*item.fault);
+    }
+    std::this_thread::sleep_until(start + duration);
+}
+
+/// Prints one line for each invariant and counts them.
+class report
+{
+public:
+    explicit report(std::uint64_t seed) : m_seed(seed) {}
+
+    void add(const std::string& invariant, const std::vector<std::string>& violations)
+    {
+        ++(violations.empty() ? m_passed : m_failed);
+        fmt::print("{} {}\n", violations.empty() ? "pass" : "FAIL", invariant);
+        for (std::size_t index = 0; index < std::min(violations.size(), max_violations_printed);
+             ++index)
+            fmt::print("     {}\n", violations[index]);
+        if (violations.size() > max_violations_printed)
+            fmt::print("     and {} more\n", violations.size() - max_violations_printed);
+    }
+
+    bool finish() const
+    {
+        fmt::print("seed {}: {} passed, {} failed\n", m_seed, m_passed, m_failed);
+        std::fflush(stdout);
+        return m_failed == 0;
+    }
+
+private:
+    const std::uint64_t m_seed;
+    int m_passed = 0;
+    int m_failed = 0;
+};
+
+std::map<std::string, int> count_executions(const Json::Value& counts)
+{
+    std::map<std::string, int> result;
+    for (const Json::Value& replica : counts["replicas"])
+        for (const std::string& key : replica["executions_by_key"].getMemberNames())
+            result[key] += replica["executions_by_key"][key].asInt();
+    return result;
+}
+
+std::vector<std::string> check_executions(const std::map<std::string, int>& executions,
+                                          const std::map<std::string, key_answers>& keys)
+{
+    std::vector<std::string> result;
+    for (const auto& [key, count] : executions)
+        if (count > 1 || !keys.contains(key))
+            result.push_back(fmt::format("key {} ran {} times", key, count));
+    for (const auto& [key, answers] : keys)
+    {
+        const auto position = executions.find(key);
+        const int count = position == executions.end() ? 0 : position->second;
+        if (answers.ran > 0 && count != 1)
+            result.push_back(
+                fmt::format("key {} was said to have run; it ran {} times", key, count));
+        if (answers.ran == 0 && answers.open == 0 && count != 0)
+            result.push_back(
+                fmt::format("key {} was said not to have run; it ran {} times", key, count));
+    }
+    return result;
+}
+
+// Repeats keys that ran: each must answer with the recorded state.
+std::vector<std::string> check_repeats(chaos_system& system, const caller_load& callers,
+                                       const std::map<std::string, int>& executions)
+{
+    std::vector<std::string> result;
+    std::size_t sent = 0;
+    for (const auto& [key, count] : executions)
+    {
+        if (sent++ == max_keys_repeated)
+            break;
+        const std::string outcome = callers.repeat(key, sent);
+        if (outcome != "ran" && outcome != "unknown")
+            result.push_back(fmt::format("key {} ran, its repeat says \"{}\"", key, outcome));
+    }
+    if (count_executions(system.cluster().upstream_counts()) != executions)
+        result.emplace_back("a repeat ran again");
+    return result;
+}
+
+std::vector<std::string> check_replicas(const Json::Value& counts)
+{
+    std::vector<std::string> result;
+    for (const std::string& name : counts["replicas"].getMemberNames())
+        for (const char* const violation : {"slot_violations", "connection_violations"})
+            if (counts["replicas"][name][violation].asUInt64() != 0)
+                result.push_back(
+                    fmt::format("{} has {} {}, highest: {} connections, {} in flight", name,
+                                counts["replicas"][name][violation].asUInt64(), violation,
+                                counts["replicas"][name]["highest_connections"].asUInt64(),
+                                counts["replicas"][name]["highest_in_flight"].asUInt64()));
+    return result;
+}
+
+std::vector<std::string> check_drains(const Json::Value& counts)
+{
+    std::vector<std::string> result;
+    for (const std::string& name : counts["replicas"].getMemberNames())
+    {
+        const std::int64_t last = counts["replicas"][name]["last_request_after_drain_ms"].asInt64();
+        if (last > drain_limit_ms)
+            result.push_back(
+                fmt::format("{} got a request {} ms after its drain began", name, last));
+    }
+    return result;
+}
+
+std::vector<std::string> check_history(const Json::Value& stored, const observations& seen)
+{
+    std::vector<std::string> result;
+    const auto count = [&](const std::string& statement)
+    {
+        int found = 0;
+        for (const Json::Value& change : stored["history"])
+            found += change["statements"].asString().find(statement) != std::string::npos ? 1 : 0;
+        return found;
+    };
+    for (const std::string& statement : seen.accepted_changes())
+        if (count(statement) != 1)
+            result.push_back(fmt::format("accepted \"{}\" is {} times in the history", statement,
+                                         count(statement)));
+    for (const std::string& statement : seen.rejected_changes())
+        if (count(statement) != 0)
+            result.push_back(fmt::format("refused \"{}\" is in the history", statement));
+    return result;
+}
+
+bool run(const run_settings& settings)
+{
+    observations seen;
+    chaos_system system(seen);
+    const auto schedule = make_schedule(settings.seed, settings.duration, system.shape());
+    fmt::print("seed {}, {} ms, {} faults\n", settings.seed, settings.duration.count(),
+               schedule.size());
+    for (const scheduled_fault& fault : schedule)
+        fmt::print("  {}\n", to_text(fault));
+    std::fflush(stdout);
+    std::vector<vm_ports> ports;
+    for (std::size_t index = 0; index < system.cluster().vm_count(); ++index)
+        ports.push_back(
+            {system.cluster().vm(index).caller_port, system.cluster().vm(index).operator_port});
+    caller_load callers(seen, ports, settings.seed);
+    play(system, schedule, settings.duration);
+    system.lift_all();
+    std::string state;
+    const bool is_converged = system.wait_until_converged(state);
+    callers.stop();
+
+    const Json::Value counts = system.cluster().upstream_counts();
+    const auto executions = count_executions(counts);
+    fmt::print("{}; {} keys ran; {}\n", seen.summary(), executions.size(), state);
+    report results(settings.seed);
+    results.add("schedule done", seen.violations("schedule done"));
+    results.add("processes run", seen.violations("processes run"));
+    results.add("converged",
+                is_converged ? std::vector<std::string>() : std::vector<std::string>{state});
+    results.add("executions per key", check_executions(executions, seen.keys()));
+    results.add("repeats after the run", check_repeats(system, callers, executions));
+    results.add("one version per answer", seen.violations("one version"));
+    results.add("coverage equals the answers", seen.violations("coverage"));
+    results.add("callers get their own answers", seen.violations("own answers"));
+    results.add("limits of the replicas", check_replicas(counts));
+    results.add("versions never decrease", seen.violations("versions never decrease"));
+    results.add("accepted changes are in the history",
+                check_history(system.cluster().object("configuration"), seen));
+    results.add("drained upstreams get no late request", check_drains(counts));
+    const bool is_passed = results.finish();
+    // The cluster keeps its logs when a test failed.
+    if (!is_passed)
+        ADD_FAILURE() << "seed " << settings.seed;
+    return is_passed && !testing::Test::HasFailure();
+}
+
+} // namespace
+
+} // namespace ospreystair::chaos
+
+int main(int argc, const char** argv)
+{
+    using namespace ospreystair;
+    base::error reason;
+    const auto settings = chaos::read_settings(argc, argv, reason);
+    if (!settings)
+    {
+        fmt::print(stderr, "error {}: {}\n", base::to_string(reason.kind), reason.message);
+        return 2;
+    }
+    return chaos::run(*settings) ? 0 : 1;
+}
--- /dev/null
+++ b/tests/chaos/chaos_system.cpp
@@ -0,0 +1,289 @@
+// Faults as signals and control documents of the stand-ins.
+
+#include "tests/chaos/chaos_system.hpp"
+
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::chaos
+{
+
+using testing_support::test_cluster;
+
+namespace
+{
+
+constexpr std::chrono::seconds operator_limit{60};
+// Twice the promised time for an accepted configuration, which leaves room for restarts.
+constexpr std::chrono::seconds convergence_limit{36};
+// Exit statuses of ospreystairctl that say that a change was not made.
+constexpr int status_refused = 2;
+constexpr int status_conflict = 3;
+
+} // namespace
+
+testing_support::cluster_plan chaos_system::make_plan()
+{
+    testing_support::cluster_plan plan;
+    testing_support::service_plan queries;
+    queries.name = query_service;
+    queries.shards = shard_count;
+    queries.replicas_per_shard = replica_count;
+    testing_support::service_plan commands;
+    commands.name = command_service;
+    commands.kind = "command";
+    commands.shards = 1;
+    commands.replicas_per_shard = replica_count;
+    plan.services = {queries, commands};
+    plan.vms_per_data_centre = 2;
+    plan.use_proxy = true;
+    return plan;
+}
+
+chaos_system::chaos_system(observations& seen) : m_seen(seen), m_cluster(make_plan())
+{
+    std::vector<std::string> shards;
+    for (int shard = 0; shard < shard_count; ++shard)
+    {
+        shards.push_back(test_cluster::shard_name(query_service, shard));
+        for (int replica = 0; replica < replica_count; ++replica)
+            m_replicas.push_back(test_cluster::replica_name(query_service, shard, replica));
+    }
+    for (int replica = 0; replica < replica_count; ++replica)
+        m_replicas.push_back(test_cluster::replica_name(command_service, 0, replica));
+    m_seen.add_version(m_index_version, shards);
+}
+
+schedule_shape chaos_system::shape() const
+{
+    return {m_cluster.vm_count(), m_replicas.size()};
+}
+
+void chaos_system::expect_done(const testing_support::test_reply& reply, const std::string& what)
+{
+    if (reply.status != 200)
+        m_seen.add_violation("schedule done",
+                             fmt::format("{}: {} {}", what, reply.status, reply.body));
+}
+
+std::string chaos_system::route(std::size_t replica) const
+{
+    return fmt::format("127.0.0.1:{}", m_cluster.replica_port(m_replicas.at(replica)));
+}
+
+void chaos_system::set_route(std::size_t replica, const std::string& settings)
+{
+    expect_done(m_cluster.control_proxy(
+                    fmt::format(R"({{"routes":["{}"],"set":{}}})", route(replica), settings)),
+                "route");
+}
+
+void chaos_system::set_platform(const std::string& settings)
+{
+    expect_done(m_cluster.control_platform(settings), "platform");
+}
+
+void chaos_system::apply(const scheduled_fault& fault)
+{
+    testing_support::test_vm* const vm =
+        fault.target < m_cluster.vm_count() ? &m_cluster.vm(fault.target) : nullptr;
+    switch (fault.kind)
+    {
+    case fault_kind::kill_entry:
+        return vm->entry->kill();
+    case fault_kind::kill_agent:
+        return vm->agent->kill();
+    case fault_kind::freeze_entry:
+        return vm->entry->freeze();
+    case fault_kind::freeze_agent:
+        return vm->agent->freeze();
+    case fault_kind::cut_route:
+        return set_route(fault.target, fault.variant % 3 == 0 ? R"({"mode":"drop_backward"})"
+                                                              : R"({"mode":"cut"})");
+    case fault_kind::delay_route:
+        return set_route(fault.target,
+                         fmt::format(R"({{"delay_forward_ms":{0},"delay_backward_ms":{0}}})",
+                                     5 + fault.variant % 100));
+    case fault_kind::platform_outage:
+        return set_platform(fault.variant % 2 == 0 ? R"({"outage":"fail"})"
+                                                   : R"({"outage":"hang"})");
+    case fault_kind::slow_platform:
+        return set_platform(fmt::format(R"({{"latency_ms":{}}})", 20 + fault.variant % 400));
+    case fault_kind::lose_write_answers:
+        return set_platform(
+            fmt::format(R"({{"lose_answers":{},"lose_prefix":"{}","lose_how":"{}"}})",
+                        1 + fault.variant % 5, fault.variant % 4 == 0 ? "configuration" : "claims/",
+                        fault.variant % 2 == 0 ? "error" : "hang"));
+    case fault_kind::publish_index:
+    case fault_kind::repartition:
+        return publish(fault.kind == fault_kind::repartition);
+    case fault_kind::drain_upstream:
+        return expect_done(
+            m_cluster.control_upstreams(fmt::format(
+                R"({{"replicas":["{}"],"set":{{"draining":true}}}})", m_replicas.at(fault.target))),
+            "drain");
+    case fault_kind::race_operators:
+        return race_operators(fault.target, fault.variant);
+    }
+}
+
+void chaos_system::lift(const scheduled_fault& fault)
+{
+    switch (fault.kind)
+    {
+    case fault_kind::kill_entry:
+    case fault_kind::kill_agent:
+        return restart(fault.kind, fault.target);
+    case fault_kind::freeze_entry:
+        return m_cluster.vm(fault.target).entry->resume();
+    case fault_kind::freeze_agent:
+        return m_cluster.vm(fault.target).agent->resume();
+    case fault_kind::cut_route:
+        return set_route(fault.target, R"({"mode":"pass"})");
+    case fault_kind::delay_route:
+        return set_route(fault.target, R"({"delay_forward_ms":0,"delay_backward_ms":0})");
+    case fault_kind::platform_outage:
+        return set_platform(R"({"outage":"none"})");
+    case fault_kind::slow_platform:
+        return set_platform(R"({"latency_ms":0})");
+    case fault_kind::lose_write_answers:
+        return set_platform(R"({"lose_answers":0})");
+    case fault_kind::publish_index:
+    case fault_kind::repartition:
+        return drop_version(m_index_version - 1);
+    case fault_kind::drain_upstream:
+        return expect_done(m_cluster.control_upstreams(
+                               fmt::format(R"({{"replicas":["{}"],"set":{{"draining":false}}}})",
+                                           m_replicas.at(fault.target))),
+                           "return from drain");
+    case fault_kind::race_operators:
+        return;
+    }
+}
+
+void chaos_system::restart(fault_kind kind, std::size_t vm)
+{
+    // The destructor of the old process waits for its end, so that the ports are free.
+    if (kind == fault_kind::kill_entry)
+    {
+        m_cluster.vm(vm).entry.reset();
+        m_cluster.start_entry(vm);
+    }
+    else
+    {
+        m_cluster.vm(vm).agent.reset();
+        m_cluster.start_agent(vm);
+    }
+}
+
+void chaos_system::publish(bool is_repartition)
+{
+    if (is_repartition)
+        m_is_merged = !m_is_merged;
+    // A merged index has given the documents of its last shard to the others.
+    const int count = m_is_merged ? shard_count - 1 : shard_count;
+    const std::uint64_t version = ++m_index_version;
+    std::vector<std::string> shards;
+    for (int shard = 0; shard < count; ++shard)
+        shards.push_back(test_cluster::shard_name(query_service, shard));
+    for (int shard = 0; shard < shard_count; ++shard)
+        for (int replica = 0; replica < replica_count; ++replica)
+            expect_done(
+                m_cluster.control_upstreams(fmt::format(
+                    R"({{"replicas":["{}"],"set":{{"publish":{{"version":{},"shards":["{}"]}}}}}})",
+                    test_cluster::replica_name(query_service, shard, replica), version,
+                    test_cluster::shard_name(query_service, shard))),
+                "new version on a replica");
+    m_seen.add_version(version, shards);
+    m_cluster.publish_index(query_service, static_cast<int>(version), shards);
+}
+
+void chaos_system::drop_version(std::uint64_t version)
+{
+    for (std::size_t index = 0; index < shard_count * replica_count; ++index)
+        expect_done(
+            m_cluster.control_upstreams(fmt::format(
+                R"({{"replicas":["{}"],"set":{{"drop":[{}]}}}})", m_replicas.at(index), version)),
+            "drop of a version");
+}
+
+void chaos_system::race_operators(std::size_t vm, std::size_t distance)
+{
+    for (const std::size_t index : {vm, (vm + distance) % m_cluster.vm_count()})
+    {
+        const std::string statement =
+            fmt::format("alter service {} set deadline {}ms", query_service, m_next_deadline++);
+        std::shared_ptr<testing_support::child_process> client =
+            m_cluster.start_operator(index, statement);
+        m_operators.push_back(
+            std::async(std::launch::async,
+                       [this, client = std::move(client), statement]
+                       {
+                           const int status = client->wait(operator_limit).value_or(-1);
+                           if (status == 0)
+                               m_seen.add_accepted_change(statement);
+                           else if (status == status_refused || status == status_conflict)
+                               m_seen.add_rejected_change(statement);
+                       }));
+    }
+}
+
+void chaos_system::lift_all()
+{
+    set_platform(R"({"outage":"none","latency_ms":0,"lose_answers":0})");
+    expect_done(
+        m_cluster.control_proxy(
+            R"({"routes":"all","set":{"mode":"pass","delay_forward_ms":0,"delay_backward_ms":0}})"),
+        "all routes");
+    expect_done(m_cluster.control_upstreams(R"({"replicas":"all","set":{"draining":false}})"),
+                "all replicas");
+    for (std::size_t index = 0; index < m_cluster.vm_count(); ++index)
+    {
+        testing_support::test_vm& vm = m_cluster.vm(index);
+        vm.entry->resume();
+        vm.agent->resume();
+        if (!vm.entry->is_running() || !vm.agent->is_running())
+            m_seen.add_violation("processes run", fmt::format("vm {} has ended", index + 1));
+    }
+    for (std::future<void>& item : m_operators)
+        item.get();
+    m_operators.clear();
+}
+
+std::uint64_t chaos_system::stored_configuration_version()
+{
+    std::string version;
+    m_cluster.object("configuration", &version);
+    return std::stoull(version);
+}
+
+bool chaos_system::wait_until_converged(std::string& state)
+{
+    const int count = m_is_merged ? shard_count - 1 : shard_count;
+    const std::string coverage = fmt::format("{0}/{0}", count);
+    const std::uint64_t configuration = stored_configuration_version();
+    return testing_support::wait_until(
+        convergence_limit,
+        [&]
+        {
+            for (std::size_t index = 0; index < m_cluster.vm_count(); ++index)
+            {
+                const auto reply = m_cluster.query(index, query_service, "converged");
+                const std::uint64_t version = m_cluster.version_in_force(index, query_service);
+                state = fmt::format(
+                    "vm {}: status {}, coverage {} of {}, index version {} of {}, configuration "
+                    "version {} of {}",
+                    index + 1, reply.status, reply.header("X-Coverage"), coverage,
+                    reply.header("X-Index-Version"), m_index_version, version, configuration);
+                if (reply.status != 200 || reply.header("X-Coverage") != coverage ||
+                    reply.header("X-Index-Version") != std::to_string(m_index_version) ||
+                    version != configuration)
+                    return false;
+            }
+            state = "all VMs have the newest versions and answer in full";
+            return true;
+        });
+}
+
+} // namespace ospreystair::chaos
--- /dev/null
+++ b/tests/chaos/chaos_system.hpp
@@ -0,0 +1,66 @@
+// The system under chaos: applies and lifts faults and changes index versions.
+
+#ifndef OSPREYSTAIR_TESTS_CHAOS_CHAOS_SYSTEM_HPP
+#define OSPREYSTAIR_TESTS_CHAOS_CHAOS_SYSTEM_HPP
+
+#include <future>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "tests/chaos/fault_schedule.hpp"
+#include "tests/chaos/observations.hpp"
+#include "tests/integration/test_cluster.hpp"
+
+namespace ospreystair::chaos
+{
+
+inline constexpr const char* query_service = "family-portal";
+inline constexpr const char* command_service = "chapel-booking";
+
+/// Owned by one thread, which calls apply(), lift() and the like. The ports of the cluster, and
+/// what `seen` holds, may be used by others at the same time.
+class chaos_system
+{
+public:
+    explicit chaos_system(observations& seen);
+
+    testing_support::test_cluster& cluster() { return m_cluster; }
+    schedule_shape shape() const;
+    void apply(const scheduled_fault& fault);
+    void lift(const scheduled_fault& fault);
+    /// Ends whatever may be left of any fault, and waits for the operators.
+    void lift_all();
+    /// Waits until each VM is ready, answers in full and has the newest versions. Returns whether
+    /// this came true in time; `state` receives what was seen last.
+    bool wait_until_converged(std::string& state);
+    std::uint64_t stored_configuration_version();
+    std::uint64_t current_index_version() const { return m_index_version; }
+
+private:
+    static constexpr int shard_count = 4;
+    static constexpr int replica_count = 2;
+
+    static testing_support::cluster_plan make_plan();
+    void restart(fault_kind kind, std::size_t vm);
+    std::string route(std::size_t replica) const;
+    void set_route(std::size_t replica, const std::string& settings);
+    void set_platform(const std::string& settings);
+    void publish(bool is_repartition);
+    void drop_version(std::uint64_t version);
+    void race_operators(std::size_t vm, std::size_t distance);
+    /// Fails the run: a stand-in that refuses its control document leaves the schedule undone.
+    void expect_done(const testing_support::test_reply& reply, const std::string& what);
+
+    observations& m_seen;
+    testing_support::test_cluster m_cluster;
+    std::vector<std::string> m_replicas;
+    std::vector<std::future<void>> m_operators;
+    int m_next_deadline = 1001;
+    std::uint64_t m_index_version = 1;
+    bool m_is_merged = false;
+};
+
+} // namespace ospreystair::chaos
+
+#endif
--- /dev/null
+++ b/tests/chaos/fault_schedule.cpp
@@ -0,0 +1,193 @@
+// Draws faults and rejects those that would hit what another fault holds.
+
+#include "tests/chaos/fault_schedule.hpp"
+
+#include <algorithm>
+#include <array>
+
+#include <fmt/format.h>
+
+#include "base/random.hpp"
+
+namespace ospreystair::chaos
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::array<std::string_view, 13> kind_names{
+    "kill_entry",  "kill_agent",      "freeze_entry",  "freeze_agent",       "cut_route",
+    "delay_route", "platform_outage", "slow_platform", "lose_write_answers", "publish_index",
+    "repartition", "drain_upstream",  "race_operators"};
+// The kinds before drain_upstream and race_operators, which are placed separately.
+constexpr std::size_t drawn_kind_count = 11;
+constexpr milliseconds min_gap{150};
+constexpr milliseconds max_gap{700};
+constexpr milliseconds min_length{300};
+constexpr milliseconds max_length{2500};
+constexpr milliseconds drain_length{4500};
+constexpr milliseconds drain_interval{20'000};
+// Processes restarted before a drain are ready by its start.
+constexpr milliseconds drain_margin{1500};
+constexpr milliseconds operator_interval{2500};
+// Two changes each; the configuration's history holds 32.
+constexpr std::size_t max_operator_races = 14;
+constexpr milliseconds quiet_start{300};
+
+bool is_process_fault(fault_kind kind)
+{
+    return kind == fault_kind::kill_entry || kind == fault_kind::kill_agent ||
+           kind == fault_kind::freeze_entry || kind == fault_kind::freeze_agent;
+}
+bool is_route_fault(fault_kind kind)
+{
+    return kind == fault_kind::cut_route || kind == fault_kind::delay_route;
+}
+bool is_index_change(fault_kind kind)
+{
+    return kind == fault_kind::publish_index || kind == fault_kind::repartition;
+}
+bool is_entry_fault(fault_kind kind)
+{
+    return kind == fault_kind::kill_entry || kind == fault_kind::freeze_entry;
+}
+bool is_platform_fault(fault_kind kind)
+{
+    return kind == fault_kind::platform_outage || kind == fault_kind::slow_platform;
+}
+
+// Whether two faults would hold the same thing at the same time.
+bool conflicts(const scheduled_fault& left, const scheduled_fault& right)
+{
+    if (left.kind == fault_kind::race_operators || right.kind == fault_kind::race_operators)
+        return false;
+    const bool has_drain =
+        left.kind == fault_kind::drain_upstream || right.kind == fault_kind::drain_upstream;
+    const milliseconds margin = has_drain ? drain_margin : milliseconds{0};
+    if (left.end() + margin <= right.start || right.end() + margin <= left.start)
+        return false;
+    if (has_drain)
+    {
+        const scheduled_fault& other = left.kind == fault_kind::drain_upstream ? right : left;
+        return is_process_fault(other.kind) ||
+               (is_route_fault(other.kind) && left.target == right.target);
+    }
+    if (is_process_fault(left.kind) && is_process_fault(right.kind))
+        return left.target == right.target &&
+               is_entry_fault(left.kind) == is_entry_fault(right.kind);
+    if (is_route_fault(left.kind) && is_route_fault(right.kind))
+        return left.target == right.target;
+    // A publication is a write to the platform, so it needs one that answers.
+    const auto changes_platform = [](fault_kind kind)
+    {
+        return is_platform_fault(kind) || is_index_change(kind);
+    };
+    if (changes_platform(left.kind) && changes_platform(right.kind))
+        return true;
+    return left.kind == fault_kind::lose_write_answers && left.kind == right.kind;
+}
+
+class schedule_builder
+{
+public:
+    schedule_builder(std::uint64_t seed, milliseconds duration, const schedule_shape& shape)
+        : m_random(seed), m_duration(duration), m_shape(shape)
+    {
+    }
+
+    std::vector<scheduled_fault> build()
+    {
+        place_drains();
+        place_races();
+        for (milliseconds now = quiet_start; now < m_duration; now += between(min_gap, max_gap))
+        {
+            draw(now);
+            // Some faults come together, and some of these twice.
+            constexpr std::uint64_t pair_chance = 3;
+            if (m_random.below(pair_chance) == 0)
+                draw(now);
+        }
+        std::stable_sort(m_faults.begin(), m_faults.end(),
+                         [](const auto& left, const auto& right)
+                         { return left.start < right.start; });
+        return std::move(m_faults);
+    }
+
+private:
+    milliseconds between(milliseconds low, milliseconds high)
+    {
+        return low + milliseconds(static_cast<std::int64_t>(
+                         m_random.below(static_cast<std::uint64_t>((high - low).count()) + 1)));
+    }
+
+    void place_drains()
+    {
+        for (milliseconds from{0}; from < m_duration; from += drain_interval)
+        {
+            const milliseconds room =
+                std::min(drain_interval, m_duration - from) - drain_length - quiet_start;
+            if (room.count() <= 0)
+                return;
+            m_faults.emplace_back(
+                scheduled_fault{from + quiet_start + between(milliseconds{0}, room), drain_length,
+                                fault_kind::drain_upstream,
+                                static_cast<std::size_t>(m_random.below(m_shape.replicas)), 0});
+        }
+    }
+
+    void place_races()
+    {
+        milliseconds now = quiet_start;
+        for (std::size_t count = 0; count < max_operator_races && now < m_duration; ++count)
+        {
+            m_faults.emplace_back(
+                scheduled_fault{now, milliseconds{0}, fault_kind::race_operators,
+                                static_cast<std::size_t>(m_random.below(m_shape.vms)),
+                                1 + m_random.below(m_shape.vms - 1)});
+            now += between(operator_interval / 2, operator_interval);
+        }
+    }
+
+    void draw(milliseconds start)
+    {
+        scheduled_fault value;
+        value.start = start;
+        value.length = between(min_length, max_length);
+        value.kind = static_cast<fault_kind>(m_random.below(drawn_kind_count));
+        value.target = static_cast<std::size_t>(
+            m_random.below(is_route_fault(value.kind) ? m_shape.replicas : m_shape.vms));
+        constexpr std::uint64_t variant_range = 1000;
+        value.variant = m_random.below(variant_range);
+        if (std::none_of(m_faults.begin(), m_faults.end(),
+                         [&](const auto& other) { return conflicts(value, other); }))
+            m_faults.push_back(value);
+    }
+
+    base::seeded_random m_random;
+    const milliseconds m_duration;
+    const schedule_shape m_shape;
+    std::vector<scheduled_fault> m_faults;
+};
+
+} // namespace
+
+std::vector<scheduled_fault> make_schedule(std::uint64_t seed, milliseconds duration,
+                                           const schedule_shape& shape)
+{
+    return schedule_builder(seed, duration, shape).build();
+}
+
+std::string_view to_string(fault_kind kind)
+{
+    return kind_names.at(static_cast<std::size_t>(kind));
+}
+
+std::string to_text(const scheduled_fault& value)
+{
+    return fmt::format("{:>6} ms to {:>6} ms {} target={} variant={}", value.start.count(),
+                       value.end().count(), to_string(value.kind), value.target, value.variant);
+}
+
+} // namespace ospreystair::chaos
--- /dev/null
+++ b/tests/chaos/fault_schedule.hpp
@@ -0,0 +1,68 @@
+// The faults of a chaos run and their times, drawn from a seed alone.
+
+#ifndef OSPREYSTAIR_TESTS_CHAOS_FAULT_SCHEDULE_HPP
+#define OSPREYSTAIR_TESTS_CHAOS_FAULT_SCHEDULE_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ospreystair::chaos
+{
+
+enum class fault_kind
+{
+    kill_entry,
+    kill_agent,
+    freeze_entry,
+    freeze_agent,
+    cut_route,
+    delay_route,
+    platform_outage,
+    slow_platform,
+    lose_write_answers,
+    publish_index,
+    repartition,
+    drain_upstream,
+    race_operators
+};
+
+/// One fault; it is lifted at its end.
+struct scheduled_fault
+{
+    std::chrono::milliseconds start{0};
+    std::chrono::milliseconds length{0};
+    fault_kind kind = fault_kind::kill_entry;
+    /// Index of the VM or replica, as the kind demands.
+    std::size_t target = 0;
+    /// Chooses among the forms of a kind, for example a refusing and a hanging platform.
+    std::uint64_t variant = 0;
+
+    std::chrono::milliseconds end() const { return start + length; }
+    bool operator==(const scheduled_fault&) const = default;
+};
+
+/// What the faults can hit.
+struct schedule_shape
+{
+    std::size_t vms = 4;
+    std::size_t replicas = 8;
+};
+
+/// Returns the faults in the order of their starts. The same arguments give the same schedule.
+/// Faults overlap, but never on the same process, route or platform setting, so that each can be
+/// lifted alone. No process is killed or frozen, and the replica's route stays open, while an
+/// upstream drains: a paused entry cannot learn of a drain, and the bound counts from its first
+/// sight.
+std::vector<scheduled_fault> make_schedule(std::uint64_t seed, std::chrono::milliseconds duration,
+                                           const schedule_shape& shape);
+
+std::string_view to_string(fault_kind kind);
+/// One line for the log of a run.
+std::string to_text(const scheduled_fault& value);
+
+} // namespace ospreystair::chaos
+
+#endif
--- /dev/null
+++ b/tests/chaos/observations.cpp
@@ -0,0 +1,169 @@
+// Checks each answer when it arrives.
+
+#include "tests/chaos/observations.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::chaos
+{
+
+void observations::violate(const std::string& invariant, std::string text)
+{
+    m_violations[invariant].push_back(std::move(text));
+}
+
+void observations::add_violation(const std::string& invariant, std::string text)
+{
+    const std::lock_guard lock(m_mutex);
+    violate(invariant, std::move(text));
+}
+
+void observations::add_version(std::uint64_t version, std::vector<std::string> shards)
+{
+    const std::lock_guard lock(m_mutex);
+    m_versions[version] = {shards.begin(), shards.end()};
+}
+
+void observations::add_query(const std::string& body, const testing_support::test_reply& reply)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_queries;
+    if (reply.status != 200)
+        return;
+    ++m_answered;
+    check_answer(body, reply);
+}
+
+void observations::check_answer(const std::string& body, const testing_support::test_reply& reply)
+{
+    const Json::Value document = reply.json();
+    if (!document.isObject() || !document["answers"].isArray() ||
+        !document["coverage"]["missing"].isArray())
+        return violate("coverage", "the answer has no document: " + reply.body);
+    const std::uint64_t version = document["snapshot"]["index_version"].asUInt64();
+    const auto known = m_versions.find(version);
+    if (known == m_versions.end())
+        return violate("one version", fmt::format("version {} was never published", version));
+    std::set<std::string> named;
+    for (const Json::Value& item : document["answers"])
+    {
+        const Json::Value& answer = item["answer"];
+        if (answer["index_version"].asUInt64() != version)
+            violate("one version", reply.body);
+        if (answer["echo"].asString() != body || answer["shard"] != item["shard"] ||
+            answer["request_id"] != document["request_id"])
+            violate("own answers", "sent " + body + ", received " + reply.body);
+        if (!named.insert(item["shard"].asString()).second)
+            violate("coverage", "a shard is named twice: " + reply.body);
+    }
+    for (const Json::Value& item : document["coverage"]["missing"])
+        if (!named.insert(item["shard"].asString()).second)
+            violate("coverage", "a shard is named twice: " + reply.body);
+    const std::size_t answered = document["answers"].size();
+    if (named != known->second || document["coverage"]["answered"].asUInt64() != answered ||
+        document["coverage"]["shards"].asUInt64() != named.size() ||
+        reply.header("X-Coverage") != fmt::format("{}/{}", answered, named.size()))
+        violate("coverage", reply.header("X-Coverage") + " " + reply.body);
+    if (reply.header("X-Index-Version") != std::to_string(version))
+        violate("one version", "the header differs: " + reply.body);
+    m_complete += answered == named.size() ? 1U : 0U;
+}
+
+void observations::add_command(const std::string& key, const std::string& body,
+                               const testing_support::test_reply& reply)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_attempts;
+    const Json::Value document = reply.json();
+    const std::string outcome =
+        document.isObject() && document["outcome"].isString() ? document["outcome"].asString() : "";
+    key_answers& answers = m_keys[key];
+    if (reply.status == 200 && outcome == "ran")
+    {
+        ++answers.ran;
+        const Json::Value& answer = document["answer"];
+        if (answer.isObject() && answer["echo"].asString() != body)
+            violate("own answers", "sent " + body + ", received " + reply.body);
+    }
+    else if (outcome == "not_run")
+        ++answers.not_run;
+    else
+        ++answers.open;
+}
+
+void observations::add_versions_seen(std::size_t vm, const std::string& incarnation,
+                                     std::uint64_t configuration_version,
+                                     std::uint64_t index_version)
+{
+    const std::lock_guard lock(m_mutex);
+    ++m_sightings;
+    for (const auto& [name, version] :
+         {std::pair{"configuration", configuration_version}, std::pair{"index", index_version}})
+    {
+        std::uint64_t& highest = m_seen[fmt::format("{} {} {}", vm, incarnation, name)];
+        if (version < highest)
+            violate("versions never decrease",
+                    fmt::format("vm {} went from {} version {} to {}", vm, name, highest, version));
+        highest = std::max(highest, version);
+    }
+}
+
+void observations::add_accepted_change(std::string statement)
+{
+    const std::lock_guard lock(m_mutex);
+    m_accepted.push_back(std::move(statement));
+}
+
+void observations::add_rejected_change(std::string statement)
+{
+    const std::lock_guard lock(m_mutex);
+    m_rejected.push_back(std::move(statement));
+}
+
+std::map<std::string, key_answers> observations::keys() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_keys;
+}
+
+std::vector<std::string> observations::accepted_changes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_accepted;
+}
+
+std::vector<std::string> observations::rejected_changes() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_rejected;
+}
+
+std::vector<std::string> observations::violations(const std::string& invariant) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto position = m_violations.find(invariant);
+    return position == m_violations.end() ? std::vector<std::string>() : position->second;
+}
+
+std::string observations::summary() const
+{
+    const std::lock_guard lock(m_mutex);
+    int ran = 0;
+    int not_run = 0;
+    int open = 0;
+    for (const auto& [key, answers] : m_keys)
+    {
+        ran += answers.ran;
+        not_run += answers.not_run;
+        open += answers.open;
+    }
+    return fmt::format("{} queries, {} answered, {} complete; {} keys, {} attempts: {} ran, {} not "
+                       "run, {} open; {} version sightings; {} accepted and {} rejected changes",
+                       m_queries, m_answered, m_complete, m_keys.size(), m_attempts, ran, not_run,
+                       open, m_sightings, m_accepted.size(), m_rejected.size());
+}
+
+} // namespace ospreystair::chaos
--- /dev/null
+++ b/tests/chaos/observations.hpp
@@ -0,0 +1,72 @@
+// What callers, monitors and operators saw in a chaos run, checked against the guarantees.
+
+#ifndef OSPREYSTAIR_TESTS_CHAOS_OBSERVATIONS_HPP
+#define OSPREYSTAIR_TESTS_CHAOS_OBSERVATIONS_HPP
+
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/integration/test_client.hpp"
+
+namespace ospreystair::chaos
+{
+
+/// The answers to the attempts of one key.
+struct key_answers
+{
+    int ran = 0;
+    int not_run = 0;
+    /// Unknown outcomes and attempts without an answer.
+    int open = 0;
+};
+
+/// Thread-safe.
+class observations
+{
+public:
+    /// Declares the shards of a version before it is published.
+    void add_version(std::uint64_t version, std::vector<std::string> shards);
+    /// Checks one answer to a query whose body was `body`.
+    void add_query(const std::string& body, const testing_support::test_reply& reply);
+    void add_command(const std::string& key, const std::string& body,
+                     const testing_support::test_reply& reply);
+    /// Versions that a VM showed, in the order of time. `incarnation` is that of the entry.
+    void add_versions_seen(std::size_t vm, const std::string& incarnation,
+                           std::uint64_t configuration_version, std::uint64_t index_version);
+    void add_accepted_change(std::string statement);
+    /// A change that the operator was told has not been made.
+    void add_rejected_change(std::string statement);
+    /// Records a violation of an invariant.
+    void add_violation(const std::string& invariant, std::string text);
+
+    std::map<std::string, key_answers> keys() const;
+    std::vector<std::string> accepted_changes() const;
+    std::vector<std::string> rejected_changes() const;
+    std::vector<std::string> violations(const std::string& invariant) const;
+    std::string summary() const;
+
+private:
+    void check_answer(const std::string& body, const testing_support::test_reply& reply);
+    void violate(const std::string& invariant, std::string text);
+
+    mutable std::mutex m_mutex;
+    std::map<std::uint64_t, std::set<std::string>> m_versions;
+    std::map<std::string, key_answers> m_keys;
+    std::map<std::string, std::uint64_t> m_seen;
+    std::vector<std::string> m_accepted;
+    std::vector<std::string> m_rejected;
+    std::map<std::string, std::vector<std::string>> m_violations;
+    std::size_t m_queries = 0;
+    std::size_t m_answered = 0;
+    std::size_t m_complete = 0;
+    std::size_t m_attempts = 0;
+    std::size_t m_sightings = 0;
+};
+
+} // namespace ospreystair::chaos
+
+#endif
