Tests: Add fuzz targets for the parsers and readers

Cause: texts from operators, peers and the platform reach nine parsers, which only property tests covered.

--- /dev/null
+++ b/tests/fuzz/command_fuzz.cpp
@@ -0,0 +1,16 @@
+// Guards against operators' texts that crash the parser, or print as something else than they mean.
+
+#include "configuration/command.hpp"
+#include "tests/fuzz/fuzz_target.hpp"
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    using namespace ospreystair;
+    base::error reason;
+    const auto value = configuration::parse_command(fuzz::to_text(data, size), reason);
+    if (!value)
+        return 0;
+    const auto again = configuration::parse_command(configuration::print(*value), reason);
+    fuzz::require(again && *again == *value);
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/datagram_fuzz.cpp
@@ -0,0 +1,17 @@
+// Guards against datagrams from anywhere that crash an agent, or that it would pass on changed.
+
+#include "protocol/datagram_codec.hpp"
+#include "tests/fuzz/fuzz_target.hpp"
+
+int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    using namespace ospreystair;
+    base::error reason;
+    const auto value = protocol::decode(fuzz::to_text(data, size), reason);
+    if (!value)
+        return 0;
+    const std::string bytes = protocol::encode(*value);
+    const auto again = protocol::decode(bytes, reason);
+    fuzz::require(again && protocol::encode(*again) == bytes);
+    return 0;
+}
--- /dev/null
+++ b/tests/fuzz/fuzz_target.hpp
@@ -0,0 +1,32 @@
+// What every fuzz target defines: libFuzzer calls it with each input.
+
+#ifndef OSPREYSTAIR_TESTS_FUZZ_FUZZ_TARGET_HPP
+#define OSPREYSTAIR_TESTS_FUZZ_FUZZ_TARGET_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include <json/json.h>
+
+/// Must return 0; a crash, a sanitizer's report or abort() is a finding.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
+
+namespace ospreystair::fuzz
+{
+
+inline std::string to_text(const std::uint8_t* data, std::size_t size)
+{
+    return {reinterpret_cast<const char*>(data), size};
+}
+
+/// Stops at a property that does not hold, also in builds without assertions.
+inline void require(bool holds)
+{
+    if (!holds)
+        __builtin_trap();
+}
+
+} // namespace ospreystair::fuzz
+
+#endif
