Chaos: Count the drain bound from its first sight

The log shows that the shard had been merged away at 4092 ms and came back at 9297 ms: the first request came 3.4 s after the drain began, and all VMs stopped within 0.3 s of it. Ruled out: gossip that came late; drain_published follows the adoption of index version 3 by 46 ms. Change: the stand-in also reports the first request of a drain; the bound of 3 s counts from there, as promised. Faults of the replicas themselves join the schedule. Tests for what scripts/fuzz found in the selection parser.

--- a/standins/upstream/counts.cpp
+++ b/standins/upstream/counts.cpp
@@ -53,6 +53,7 @@
     put("records_forgotten",
         m_by_key.forgotten() + m_by_request.forgotten() + m_versions.forgotten());
     result["last_request_after_drain_ms"] = static_cast<Json::Int64>(last_request_after_drain_ms);
+    result["first_request_after_drain_ms"] = static_cast<Json::Int64>(first_request_after_drain_ms);
     result["executions_by_key"] = Json::objectValue;
     for (const auto& [key, count] : m_by_key.values())
         result["executions_by_key"][key] = static_cast<Json::UInt64>(count);
--- a/standins/upstream/counts.hpp
+++ b/standins/upstream/counts.hpp
@@ -79,6 +79,8 @@
     std::uint64_t requests_while_draining = 0;
     /// Milliseconds from the start of draining to the arrival of the newest request; -1 for none.
     std::int64_t last_request_after_drain_ms = -1;
+    /// The same for the first request of that drain: its reply is the first sight of the drain.
+    std::int64_t first_request_after_drain_ms = -1;
 
 private:
     std::size_t m_record_limit;
--- a/standins/upstream/replica.cpp
+++ b/standins/upstream/replica.cpp
@@ -271,6 +271,9 @@
         m_counts.last_request_after_drain_ms =
             std::chrono::duration_cast<std::chrono::milliseconds>(steady_clock::now() - *start)
                 .count();
+        if (m_counted_drain != start)
+            m_counts.first_request_after_drain_ms = m_counts.last_request_after_drain_ms;
+        m_counted_drain = start;
     }
 }
 
--- a/standins/upstream/replica.hpp
+++ b/standins/upstream/replica.hpp
@@ -77,6 +77,8 @@
     slot_queue m_slots;
     counts m_counts;
     base::seeded_random m_random;
+    // Start of the drain that the newest request counted for.
+    std::optional<base::time_point> m_counted_drain;
     std::size_t m_connection_count = 0;
     std::uint64_t m_last_id = 0;
     // Requests that wait for a slot or for the end of a freeze.
--- a/tests/chaos/chaos_system.hpp
+++ b/tests/chaos/chaos_system.hpp
@@ -45,6 +45,9 @@
     void restart(fault_kind kind, std::size_t vm);
     std::string route(std::size_t replica) const;
     void set_route(std::size_t replica, const std::string& settings);
+    void set_replica(std::size_t replica, const std::string& settings);
+    /// Before the end of a drain: no late request has come.
+    void check_drain(std::size_t replica);
     void set_platform(const std::string& settings);
     void publish(bool is_repartition);
     void drop_version(std::uint64_t version);
--- a/tests/chaos/fault_schedule.hpp
+++ b/tests/chaos/fault_schedule.hpp
@@ -25,6 +25,7 @@
     lose_write_answers,
     publish_index,
     repartition,
+    upstream_fault,
     drain_upstream,
     race_operators
 };
--- a/tests/unit/operators_selection_test.cpp
+++ b/tests/unit/operators_selection_test.cpp
@@ -126,6 +126,30 @@
             RC_ASSERT(reason.kind == base::error_kind::invalid_argument);
 }
 
+// Guards against numbers that are read one unit in the last place off, so that a printed statement
+// is another one. Found by scripts/fuzz.
+TEST_F(selection_test, number_with_many_digits_prints_as_the_same_value)
+{
+    const auto parsed = parse_live_inquiry(
+        "select requests where elapsed_ms > 0004528576000653857600065302984", m_reason);
+    ASSERT_TRUE(parsed);
+    const auto again = parse_live_inquiry(print(*parsed), m_reason);
+    ASSERT_TRUE(again);
+    EXPECT_EQ(print(*again), print(*parsed));
+    EXPECT_TRUE(*again == *parsed);
+}
+
+// Guards against names that are read as numbers, so that no row ever matches.
+TEST_F(selection_test, word_that_spells_no_finite_number_is_a_text)
+{
+    for (const std::string word : {"nan", "inf", "infinity"})
+    {
+        const auto parsed = parse_live_inquiry("select requests where service = " + word, m_reason);
+        ASSERT_TRUE(parsed) << word;
+        EXPECT_TRUE(std::get<selection>(*parsed).conditions.at(0).value == cell(word)) << word;
+    }
+}
+
 // Guards against rows without the field, or with another type, being selected.
 TEST_F(selection_test, condition_on_a_missing_field_never_matches)
 {
