Tests: Follow the query policy's sample flag

Cause: the fake policy of query_test was written for the earlier concept. Change: its finish takes the flag. Measured: query_test builds again. Conclusion: no assertion changed.

--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -224,7 +224,7 @@
         return nullptr;
     }
     void begin(const configuration::replica&, attempt_kind) { ++shared->begun; }
-    void finish(const configuration::replica&, attempt_kind, const sub_reply&, base::duration)
+    void finish(const configuration::replica&, attempt_kind, const sub_reply&, base::duration, bool)
     {
         ++shared->finished;
     }
