Tests: End servers before the context that they use

http_test destroyed the context before the server, whose acceptor belongs to it, and once failed with a corrupted heap. Servers are now stopped and their threads joined first. Three runs of http_test and of query_test under the address sanitizer pass; the run before the change was not repeated under it.

--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -86,11 +86,14 @@
         for (int number = 0; number < 2; ++number)
             m_threads.emplace_back([this] { m_context.run(); });
     }
-    ~context_threads()
+    ~context_threads() { join(); }
+    // Waits until nothing is left to run; the owner ends its servers first.
+    void join()
     {
-        m_context.stop();
+        m_work.reset();
         for (std::thread& item : m_threads)
-            item.join();
+            if (item.joinable())
+                item.join();
     }
     asio::io_context& context() { return m_context; }
 
@@ -128,6 +131,16 @@
         EXPECT_TRUE(m_server) << reason.message;
     }
 
+    // Ends all connections before the context, which their coroutines use, goes.
+    ~echo_server()
+    {
+        m_server->stop_accepting();
+        m_server->abort_connections();
+        m_threads.join();
+    }
+    echo_server(const echo_server&) = delete;
+    echo_server& operator=(const echo_server&) = delete;
+
     tcp::endpoint address() const { return m_server->address(); }
     server& get() { return *m_server; }
 
@@ -151,10 +164,10 @@
     std::atomic<int> handled{0};
 
 private:
-    std::shared_ptr<server> m_server;
     int m_probe = 0;
-    // Last, so that no handler runs when the members above are destroyed.
+    // Joined by ~echo_server, and destroyed after the server, whose sockets belong to the context.
     context_threads m_threads;
+    std::shared_ptr<server> m_server;
 };
 
 } // namespace
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -457,10 +457,13 @@
 
     void TearDown() override
     {
+        // All coroutines end before the context that they use goes.
         if (m_server)
+        {
             m_server->stop_accepting();
+            m_server->abort_connections();
+        }
         m_work.reset();
-        m_context.stop();
         for (std::thread& item : m_threads)
             item.join();
     }
