Operators: Read numbers of selections exactly

Ruled out: printing with more digits, since the value itself was wrong. Change: a number is a whole word that std::from_chars reads as finite.

--- a/source/operators/selection_grammar.cpp
+++ b/source/operators/selection_grammar.cpp
@@ -2,6 +2,8 @@
 // compiles slowly. No rule refers to itself, so that the nesting depth is bounded by the grammar.
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 
 #include <boost/spirit/home/x3.hpp>
 #include <fmt/format.h>
@@ -64,10 +66,31 @@
 const auto quoted_def =
     x3::lexeme['"' >> *(('\\' >> x3::char_("\"\\\\")) | ~x3::char_("\"\\")) >> '"'];
 
+// Reads a finite decimal number that is the whole text. x3::double_ is off by one unit in the last
+// place for some long numbers and takes "nan" and "inf" for numbers.
+auto keep_number()
+{
+    return [](auto& context)
+    {
+        const std::string& text = x3::_attr(context);
+        const char* const end = text.data() + text.size();
+        double number = 0;
+        const auto parsed = std::from_chars(text.data(), end, number);
+        x3::_pass(context) = parsed.ec == std::errc{} && parsed.ptr == end && std::isfinite(number);
+        x3::_val(context) = number;
+    };
+}
+
+const x3::rule<class number_text_id, std::string> number_text = "the digits of a number";
+const auto number_text_def = x3::lexeme[+(word_character | x3::char_('+'))];
+
+const x3::rule<class number_id, double> number = "a number";
+const auto number_def = number_text[keep_number()];
+
 const x3::rule<class value_id, cell> value = "a value";
-const auto value_def =
-    (keyword("true") >> x3::attr(true))[keep()] | (keyword("false") >> x3::attr(false))[keep()] |
-    x3::lexeme[x3::double_ >> !word_character][keep()] | quoted[keep()] | word[keep()];
+const auto value_def = (keyword("true") >> x3::attr(true))[keep()] |
+                       (keyword("false") >> x3::attr(false))[keep()] | number[keep()] |
+                       quoted[keep()] | word[keep()];
 
 const auto operation = [](const char* text, comparison meaning)
 {
@@ -134,9 +157,9 @@
 const x3::rule<class inquiry_id, live_inquiry> inquiry_rule = "an inquiry";
 const auto inquiry_rule_def = (selection_rule[keep()] | explain_rule[keep()]) >> -x3::lit(';');
 
-BOOST_SPIRIT_DEFINE(field, word, quoted, value, comparison_rule, condition_rule, function_rule,
-                    aggregate_rule, column, ordering_rule, kind_rule, selection_rule, explain_rule,
-                    inquiry_rule)
+BOOST_SPIRIT_DEFINE(field, word, quoted, number_text, number, value, comparison_rule,
+                    condition_rule, function_rule, aggregate_rule, column, ordering_rule, kind_rule,
+                    selection_rule, explain_rule, inquiry_rule)
 
 std::nullopt_t refuse_at(std::size_t position, base::error& reason)
 {
