Configuration: Share the actions of both grammars

Cause: the command and the selection grammar held the same two actions. Change: configuration/grammar_actions.hpp. Conclusion: no behaviour changed.

--- a/source/configuration/command_grammar.cpp
+++ b/source/configuration/command_grammar.cpp
@@ -9,6 +9,7 @@
 #include <fmt/format.h>
 
 #include "configuration/command.hpp"
+#include "configuration/grammar_actions.hpp"
 
 namespace ospreystair::configuration
 {
@@ -19,15 +20,6 @@
 namespace x3 = boost::spirit::x3;
 
 // Sets a member of the rule's value; a clause that is given twice does not match.
-template<class Owner, class Value>
-auto set(Value Owner::*member)
-{
-    return [member](auto& context)
-    {
-        x3::_val(context).*member = x3::_attr(context);
-    };
-}
-
 template<class Owner, class Value>
 auto set_once(std::optional<Value> Owner::*member)
 {
@@ -167,14 +159,6 @@
     };
 }
 
-auto keep()
-{
-    return [](auto& context)
-    {
-        x3::_val(context) = x3::_attr(context);
-    };
-}
-
 const x3::rule<class change_id, change> change_rule = "a change";
 const auto change_rule_def =
     (keyword("create") >> ((keyword("service") > create_service_rule[keep()]) |
--- /dev/null
+++ b/source/configuration/grammar_actions.hpp
@@ -0,0 +1,33 @@
+// Semantic actions that the grammars of the operators' languages share. Include it only in files
+// that hold a grammar, since Boost.Spirit X3 compiles slowly.
+
+#ifndef OSPREYSTAIR_CONFIGURATION_GRAMMAR_ACTIONS_HPP
+#define OSPREYSTAIR_CONFIGURATION_GRAMMAR_ACTIONS_HPP
+
+#include <boost/spirit/home/x3.hpp>
+
+namespace ospreystair::configuration
+{
+
+/// Sets a member of the rule's value.
+template<class Owner, class Value>
+auto set(Value Owner::*member)
+{
+    return [member](auto& context)
+    {
+        boost::spirit::x3::_val(context).*member = boost::spirit::x3::_attr(context);
+    };
+}
+
+/// Makes the matched attribute the rule's value.
+inline auto keep()
+{
+    return [](auto& context)
+    {
+        boost::spirit::x3::_val(context) = boost::spirit::x3::_attr(context);
+    };
+}
+
+} // namespace ospreystair::configuration
+
+#endif
--- a/source/operators/selection_grammar.cpp
+++ b/source/operators/selection_grammar.cpp
@@ -8,6 +8,7 @@
 #include <boost/spirit/home/x3.hpp>
 #include <fmt/format.h>
 
+#include "configuration/grammar_actions.hpp"
 #include "operators/selection.hpp"
 
 namespace ospreystair::operators
@@ -17,15 +18,8 @@
 {
 
 namespace x3 = boost::spirit::x3;
-
-template<class Owner, class Value>
-auto set(Value Owner::*member)
-{
-    return [member](auto& context)
-    {
-        x3::_val(context).*member = x3::_attr(context);
-    };
-}
+using configuration::keep;
+using configuration::set;
 
 // Appends to a list member with a bounded length.
 template<class Owner, class Value>
@@ -41,14 +35,6 @@
     };
 }
 
-auto keep()
-{
-    return [](auto& context)
-    {
-        x3::_val(context) = x3::_attr(context);
-    };
-}
-
 const auto word_character = x3::char_("a-zA-Z0-9_.:/-");
 
 auto keyword(const char* text)
