--- a/tests/integration/graceful_stop_test.cpp
+++ b/tests/integration/graceful_stop_test.cpp
@@ -1,5 +1,6 @@
 // Planned stops under load: no request is cut, nothing is lost, the exit status is 0.
 
+#include <array>
 #include <atomic>
 #include <future>
 #include <thread>
@@ -105,7 +106,8 @@
                 while (!m_is_ending.load())
                 {
                     check_readiness();
-                    sleep_for(20ms);
+                    // Load balancers notice a change with a delay; the drain delay covers it.
+                    sleep_for(200ms);
                 }
             });
         for (int index = 0; index < caller_count; ++index)
@@ -171,7 +173,7 @@
     graceful_stop_test()
         : m_cluster({.services = {{.name = portal, .slots = 16},
                                   {.name = booking, .kind = "command", .shards = 1}},
-                     .drain_delay_ms = 500})
+                     .drain_delay_ms = 1000})
     {
     }
 
@@ -190,7 +192,7 @@
     std::vector<std::future<test_reply>> start_slow_queries()
     {
         constexpr int count = 8;
-        set_service_time(1200);
+        set_service_time(1800);
         std::vector<std::future<test_reply>> result;
         for (int index = 0; index < count; ++index)
             result.push_back(
@@ -281,6 +283,8 @@
         EXPECT_EQ(caller->lost(), 0);
         EXPECT_TRUE(caller->was_told_to_close());
     }
+    // All were told while the entry still accepts, not by the end of the drain delay.
+    EXPECT_EQ(m_cluster.query(0, portal, "minutes").status, 200);
     check_exit();
 }
 
@@ -299,7 +303,7 @@
 TEST_F(graceful_stop_test, command_in_flight_at_stop_is_finished_and_recorded)
 {
     const std::string key = make_key("stop");
-    set_service_time(1000);
+    set_service_time(1600);
     auto first = std::async(std::launch::async, [&]
                             { return m_cluster.command(0, booking, key, "hall 3", deadline_ms); });
     ASSERT_TRUE(wait_until(settle_limit, [&] { return in_flight() >= 1; }));
@@ -325,7 +329,8 @@
     m_cluster.control_platform(R"({"outage":"fail"})");
     m_cluster.vm(0).entry->terminate();
     EXPECT_EQ(first.get().json()["outcome"].asString(), "ran");
-    sleep_for(1000ms);
+    // Longer than the drain delay, so that only the missing record keeps the entry running.
+    sleep_for(1600ms);
     EXPECT_TRUE(m_cluster.vm(0).entry->is_running());
     m_cluster.control_platform(R"({"outage":"none"})");
     check_exit();
--- a/tests/integration/outcome_test.cpp
+++ b/tests/integration/outcome_test.cpp
@@ -92,6 +92,31 @@
     test_cluster m_cluster;
 };
 
+// Guards against "not found" for an existing service, and against readiness, at a VM that has not
+// received a configuration yet.
+TEST_F(outcome_test, vm_started_in_platform_outage_is_not_ready_and_refuses_with_retry_after)
+{
+    m_cluster.control_platform(R"({"outage":"fail"})");
+    test_vm& item = m_cluster.vm(0);
+    item.entry->kill();
+    item.agent->kill();
+    ASSERT_TRUE(item.entry->wait(settle_limit).has_value());
+    ASSERT_TRUE(item.agent->wait(settle_limit).has_value());
+    m_cluster.start_agent(0);
+    m_cluster.start_entry(0);
+    for (const int port : {item.control_port, item.operator_port})
+        ASSERT_TRUE(wait_until(settle_limit,
+                               [&] { return send_request(port, get("/live")).status == 200; }));
+    // Time for several views of the agent.
+    sleep_for(500ms);
+    EXPECT_EQ(send_request(item.operator_port, get("/ready")).status, 503);
+    const std::string key = make_key("noview");
+    check_not_run(send(key), key);
+    m_cluster.control_platform(R"({"outage":"none"})");
+    ASSERT_TRUE(m_cluster.wait_until_ready(0));
+    EXPECT_EQ(outcome_of(send(key)), "ran");
+}
+
 // Guards against `unknown` for a command that certainly did not leave the entry.
 TEST_F(outcome_test, refused_connections_are_answered_not_run_at_once)
 {
