--- a/programs/agent/platform_follower.hpp
+++ b/programs/agent/platform_follower.hpp
@@ -46,6 +46,7 @@
     http::awaitable<bool> read_indexes();
     http::awaitable<void> extend_drain(std::string upstream);
     void adopt_configuration(const platform::stored_object& object);
+    void adopt_index(const std::string& service, const platform::stored_object& object);
     void take_vms(const std::vector<platform::vm_entry>& vms);
     // Logs the first failure and the first success after it.
     void note_call(bool is_success, std::string_view call, const base::error& reason);
--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -48,7 +48,8 @@
         policy.choose(shard, tried, reason)
         } -> std::same_as<const configuration::replica*>;
     policy.begin(target, kind);
-    policy.finish(target, kind, reply, elapsed);
+    // The last argument tells whether `elapsed` is a sample of the latency.
+    policy.finish(target, kind, reply, elapsed, true);
     // Time from now until a hedge is due; empty when there will be none.
     {
         policy.hedge_delay(sent_at, hedge_count)
@@ -186,7 +187,8 @@
         const auto executor = co_await http::asio::this_coro::executor;
         auto state = std::make_shared<shard_state>(executor);
         m_shards.push_back(state);
-        if (start_attempt(index, state, attempt_kind::first, "first attempt"))
+        // A query can end before its shards start: the caller left, or no time remains.
+        if (!m_is_stopped && start_attempt(index, state, attempt_kind::first, "first attempt"))
             co_await follow_attempts(index, state);
         for (const auto& item : state->active)
             item->cancel->cancel();
@@ -311,12 +313,19 @@
                                       std::shared_ptr<const sub_request> message)
     {
         const auto self = this->shared_from_this();
+        // The attempt can be given up between its start and this first step.
+        if (item->cancel->is_cancelled())
+            co_return;
         m_policy.begin(*item->target, item->record->kind);
         const base::time_point start = m_clock.now();
         sub_reply reply =
             co_await m_upstream.send(*item->target, *message, m_work.deadline, item->cancel);
         const base::duration taken = m_clock.now() - start;
-        m_policy.finish(*item->target, item->record->kind, reply, taken);
+        // An attempt that was cut short because the caller left says nothing about the latency.
+        const bool is_sample = reply.result == sub_result::answered ||
+                               reply.result == sub_result::timeout ||
+                               (reply.result == sub_result::cancelled && !m_is_cancelled);
+        m_policy.finish(*item->target, item->record->kind, reply, taken, is_sample);
         item->record->elapsed = std::chrono::duration_cast<std::chrono::microseconds>(taken);
         item->record->result = reply.result;
         item->record->error = reply.reason.message;
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -80,9 +80,10 @@
     for (std::size_t index = 0; index < m_vms.size(); ++index)
     {
         start_agent(index);
-        start_entry(index);
+        if (m_plan.has_entries)
+            start_entry(index);
     }
-    for (std::size_t index = 0; index < m_vms.size(); ++index)
+    for (std::size_t index = 0; m_plan.has_entries && index < m_vms.size(); ++index)
         EXPECT_TRUE(wait_until_ready(index)) << m_vms[index].entry->log_text();
 }
 
@@ -145,6 +146,11 @@
     return fmt::format("{}-s{}-r{}", service, shard, replica);
 }
 
+std::string test_cluster::replica_address(const std::string& replica_name) const
+{
+    return local(m_replica_ports.at(replica_name));
+}
+
 std::string test_cluster::shard_name(const std::string& service, int shard)
 {
     return fmt::format("{}-s{}", service, shard);
@@ -167,8 +173,11 @@
                     service.slots, service.connections);
             }
     m_upstream_control_port = next_port();
-    m_upstreams = start("standin-upstream", "upstreams",
-                        {"--replicas", replicas, "--control", local(m_upstream_control_port)});
+    std::vector<std::string> arguments = {"--replicas", replicas, "--control",
+                                          local(m_upstream_control_port)};
+    arguments.insert(arguments.end(), m_plan.upstream_arguments.begin(),
+                     m_plan.upstream_arguments.end());
+    m_upstreams = start("standin-upstream", "upstreams", arguments);
     EXPECT_TRUE(wait_until(
         start_limit, [this]
         { return send_request(m_upstream_control_port, get("/control/counts")).status == 200; }))
@@ -212,6 +221,7 @@
         entry["kind"] = service.kind;
         entry["prefer"] = service.prefer;
         entry["deadline_ms"] = service.deadline_ms;
+        entry["hedge_percent"] = service.hedge_percent;
         entry["shards"] = Json::arrayValue;
         for (int shard = 0; shard < service.shards; ++shard)
         {
@@ -373,6 +383,11 @@
     return send_request(m_platform_direct_port, get("/control/counts")).json();
 }
 
+Json::Value test_cluster::proxy_counts()
+{
+    return send_request(m_proxy_control_port, get("/control/counts")).json();
+}
+
 Json::Value test_cluster::upstream_counts()
 {
     return send_request(m_upstream_control_port, get("/control/counts")).json();
@@ -387,6 +402,38 @@
     return total;
 }
 
+std::unique_ptr<child_process>
+test_cluster::start_program(const std::string& program, const std::vector<std::string>& arguments)
+{
+    return start(program, program, arguments);
+}
+
+std::unique_ptr<child_process> test_cluster::start_operator(std::size_t vm_index,
+                                                            const std::string& command)
+{
+    return start("ospreystairctl", "operator",
+                 {"--agent", local(m_vms.at(vm_index).control_port), "--credential", "secret", "-c",
+                  command});
+}
+
+int test_cluster::run_operator(std::size_t vm_index, const std::string& command,
+                               std::string* output)
+{
+    const auto client = start_operator(vm_index, command);
+    const std::optional<int> status = client->wait(std::chrono::seconds{60});
+    if (output != nullptr)
+        *output = client->output_text() + client->log_text();
+    return status.value_or(-1);
+}
+
+std::uint64_t test_cluster::version_in_force(std::size_t vm_index, const std::string& service)
+{
+    const std::string id = query(vm_index, service, "version").header("X-Request-Id");
+    const test_reply record =
+        send_request(m_vms.at(vm_index).operator_port, get("/requests/" + id));
+    return record.json()["configuration_version"].asUInt64();
+}
+
 double test_cluster::entry_metric(std::size_t vm_index, const std::string& name)
 {
     std::istringstream lines(send_request(m_vms.at(vm_index).operator_port, get("/metrics")).body);
--- a/tests/integration/test_cluster.hpp
+++ b/tests/integration/test_cluster.hpp
@@ -28,6 +28,7 @@
     int connections = 25;
     std::string prefer = "coverage";
     int deadline_ms = 1000;
+    int hedge_percent = 5;
 };
 
 /// What a cluster consists of.
@@ -43,6 +44,10 @@
     /// With the proxy: gives each VM its own route to the platform, so that one can be cut off.
     bool has_platform_route_per_vm = false;
     std::string log_level = "info";
+    /// Further arguments of the stand-in upstream.
+    std::vector<std::string> upstream_arguments = {};
+    /// Without entries only the agents run.
+    bool has_entries = true;
 };
 
 /// One VM: its processes and ports.
@@ -90,9 +95,22 @@
     test_reply control_upstreams(const std::string& json);
     test_reply control_proxy(const std::string& json);
     Json::Value platform_counts();
+    Json::Value proxy_counts();
     Json::Value upstream_counts();
     /// The total executions of a command over all replicas.
     int executions(const std::string& key);
+    /// Starts ospreystairctl with one command, sent to the agent of a VM.
+    std::unique_ptr<child_process> start_operator(std::size_t vm_index, const std::string& command);
+    /// Runs ospreystairctl to its end and returns its exit status; `output` receives what it
+    /// printed.
+    int run_operator(std::size_t vm_index, const std::string& command,
+                     std::string* output = nullptr);
+    /// The configuration version that a VM's entry uses for a query at this moment.
+    std::uint64_t version_in_force(std::size_t vm_index, const std::string& service);
+    /// Runs another program of the build, for example to see how it refuses its settings.
+    std::unique_ptr<child_process> start_program(const std::string& program,
+                                                 const std::vector<std::string>& arguments);
+
     /// Reads a counter of an entry's metrics; 0 when it is absent.
     double entry_metric(std::size_t vm_index, const std::string& name);
 
@@ -104,6 +122,8 @@
     {
         return m_replica_ports.at(replica_name);
     }
+    /// The ip:port of a replica's route in the fault proxy.
+    std::string replica_address(const std::string& replica_name) const;
     int direct_replica_port(const std::string& name) const { return m_direct_ports.at(name); }
     int platform_port() const { return m_platform_port; }
     /// The port at which one VM reaches the platform.
