--- a/programs/agent/record_writer.hpp
+++ b/programs/agent/record_writer.hpp
@@ -47,6 +47,8 @@
     bool prepare_batch();
     http::awaitable<bool> write_batch(std::chrono::steady_clock::time_point deadline);
 
+    void log_failure(const std::string& key, const base::error& reason);
+
     platform::http_object_store& m_store;
     const std::string m_prefix;
     observe::event_log& m_events;
--- a/programs/entry/entry_policy.cpp
+++ b/programs/entry/entry_policy.cpp
@@ -10,8 +10,8 @@
 namespace
 {
 
-// Hedges are off for this long after a replica of the service shed a request: more load would make
-// it shed more.
+// Hedges are off for this long after a replica of the service shed a request or a query waited for
+// admission: more load would take slots from queries that wait.
 constexpr std::chrono::milliseconds shed_memory{100};
 
 // The shortest time in which another replica can answer.
@@ -173,15 +173,13 @@
 }
 
 void query_decisions::finish(const configuration::replica& target, query::attempt_kind kind,
-                             const query::sub_reply& reply, base::duration elapsed)
+                             const query::sub_reply& reply, base::duration elapsed, bool is_sample)
 {
     m_owner->finish(target, reply, elapsed);
-    const bool is_sample =
-        reply.result == query::sub_result::answered || reply.result == query::sub_result::cancelled;
     if (kind == query::attempt_kind::first && is_sample)
         m_service->hedges.record_latency(elapsed);
     if (reply.result == query::sub_result::overloaded)
-        m_service->last_shed.store(m_owner->m_clock.now().time_since_epoch().count());
+        record_overload();
 }
 
 routing::hedge_situation query_decisions::situation(base::time_point sent_at,
@@ -208,6 +206,11 @@
     return m_service->hedges.try_hedge(m_request, now, ignored);
 }
 
+void query_decisions::record_overload()
+{
+    m_service->last_shed.store(m_owner->m_clock.now().time_since_epoch().count());
+}
+
 bool query_decisions::take_retry(const configuration::shard& shard,
                                  const std::vector<std::string>& tried,
                                  const query::sub_reply& reply)
@@ -218,6 +221,11 @@
     base::error ignored;
     const base::duration expected =
         m_service->hedges.learnt_latency().value_or(base::duration::zero());
+    // The budget bounds the extra load on upstreams, and a refused connection puts none on them.
+    // When a replica of every shard stops at once, the budget alone would leave shards unanswered
+    // until all of these replicas are ejected. Each query tries a replica at most once.
+    if (reply.is_unsent && m_deadline.left(m_owner->m_clock.now()) > expected)
+        return m_owner->m_selector.has_usable(shard, tried);
     return m_service->retries.try_retry(m_request, health_of(reply), m_deadline, expected,
                                         m_owner->m_selector.has_usable(shard, tried), ignored);
 }
