Dispatch: Record only answers that are UTF-8

JsonCpp's writer replaces bytes that are not UTF-8 and takes what follows a broken sequence with it: the answer {"x":"<c3>"} was recorded as {"x":"<e2>}, which spoils the document of each repeat. Change: such an answer is not recorded (a repeat says ran with a null answer); a bucket whose keys, tokens or request ids are not UTF-8 is malformed. Test: claim_bucket_test.answer_that_is_not_utf8_is_not_recorded and key_that_is_not_utf8_is_malformed.

--- a/source/dispatch/claim_bucket.cpp
+++ b/source/dispatch/claim_bucket.cpp
@@ -4,6 +4,7 @@
 
 #include <cassert>
 #include <memory>
+#include <string_view>
 #include <utility>
 
 #include <json/json.h>
@@ -47,11 +48,51 @@
            answer_bytes(record);
 }
 
+// The bytes of the UTF-8 sequence at the start of `text`; 0 when there is none.
+std::size_t sequence_size(std::string_view text)
+{
+    const auto byte = [text](std::size_t index)
+    {
+        return static_cast<unsigned char>(text[index]);
+    };
+    const unsigned lead = byte(0);
+    if (lead < 0x80)
+        return 1;
+    const std::size_t size = lead >= 0xc2 && lead < 0xe0   ? 2
+                             : lead >= 0xe0 && lead < 0xf0 ? 3
+                             : lead >= 0xf0 && lead < 0xf5 ? 4
+                                                           : 0;
+    if (size == 0 || size > text.size())
+        return 0;
+    for (std::size_t index = 1; index < size; ++index)
+        if ((byte(index) & 0xc0) != 0x80)
+            return 0;
+    // Overlong forms, surrogates and values above U+10FFFF.
+    const bool is_outside = (lead == 0xe0 && byte(1) < 0xa0) || (lead == 0xed && byte(1) >= 0xa0) ||
+                            (lead == 0xf0 && byte(1) < 0x90) || (lead == 0xf4 && byte(1) >= 0x90);
+    return is_outside ? 0 : size;
+}
+
+// The JSON writer replaces what is no UTF-8 by other characters, and may take a quote with it.
+bool is_utf8(std::string_view text)
+{
+    while (!text.empty())
+    {
+        const std::size_t size = sequence_size(text);
+        if (size == 0)
+            return false;
+        text.remove_prefix(size);
+    }
+    return true;
+}
+
 std::optional<claim_record> parse_record(const Json::Value& value)
 {
     if (!value.isObject() || !value["t"].isString() || !value["r"].isString())
         return std::nullopt;
     claim_record record{value["t"].asString(), value["r"].asString(), {}, {}};
+    if (!is_utf8(record.token) || !is_utf8(record.request_id))
+        return std::nullopt;
     if (value.isMember("o"))
     {
         if (!value["o"].isString())
@@ -59,7 +100,7 @@
         // An outcome that a newer release added counts as unknown, the one that claims nothing.
         record.result = outcome_from_text(value["o"].asString()).value_or(outcome::unknown);
     }
-    if (value["a"].isString())
+    if (value["a"].isString() && is_utf8(value["a"].asString()))
         record.answer = value["a"].asString();
     return record;
 }
@@ -81,8 +122,8 @@
             for (const std::string& key : root["claims"].getMemberNames())
             {
                 auto record = parse_record(root["claims"][key]);
-                is_valid = is_valid && record;
-                if (!record)
+                is_valid = record && is_utf8(key);
+                if (!is_valid)
                     break;
                 bucket.m_bytes += record_bytes(key, *record);
                 bucket.m_claims.emplace(key, std::move(*record));
@@ -152,7 +193,7 @@
         return true;
     }
     claim.result = result;
-    if (answer && answer->size() <= max_answer_bytes &&
+    if (answer && answer->size() <= max_answer_bytes && is_utf8(*answer) &&
         m_bytes + json_bytes(*answer) <= max_bytes_for_answers)
         claim.answer = std::move(answer);
     m_bytes += record_bytes(key, claim);
--- a/source/dispatch/claim_bucket.hpp
+++ b/source/dispatch/claim_bucket.hpp
@@ -38,7 +38,7 @@
     static constexpr std::size_t max_bytes_for_claims = 850'000;
     /// Answers are no longer recorded beyond this size, so that they take no room from claims.
     static constexpr std::size_t max_bytes_for_answers = 500'000;
-    /// Longer answers are not recorded.
+    /// Longer answers, and those that are not UTF-8, are not recorded.
     static constexpr std::size_t max_answer_bytes = 1'024;
 
     /// Fails with protocol when the text has another form.
--- a/tests/fuzz/fuzz_target.hpp
+++ b/tests/fuzz/fuzz_target.hpp
@@ -10,6 +10,7 @@
 #include <json/json.h>
 
 /// Must return 0; a crash, a sanitizer's report or abort() is a finding.
+// libFuzzer prescribes the name. NOLINTNEXTLINE(readability-identifier-naming)
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size);
 
 namespace ospreystair::fuzz
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -239,6 +239,35 @@
     EXPECT_EQ(m_bucket.find("k")->answer, "1");
 }
 
+// Guards against a recorded answer that a repeat gets changed: the writer of JSON took the quote
+// after a broken sequence for a part of it. Found by scripts/fuzz.
+TEST_F(claim_bucket_test, answer_that_is_not_utf8_is_not_recorded)
+{
+    int number = 0;
+    for (const std::string answer :
+         {"{\"a\":\"\xc3\"}", "\xfe", "\xed\xa0\x80", "\xf8\x88\x80\x80"})
+    {
+        const std::string key = std::to_string(++number);
+        ASSERT_TRUE(m_bucket.add(key, {"t", "r", {}, {}}));
+        EXPECT_TRUE(m_bucket.record(key, "t", outcome::ran, answer));
+        EXPECT_FALSE(m_bucket.find(key)->answer);
+    }
+    ASSERT_TRUE(m_bucket.add("kept", {"t", "r", {}, {}}));
+    EXPECT_TRUE(
+        m_bucket.record("kept", "t", outcome::ran, "\"\xc3\xa4\xe2\x82\xac\xf0\x9f\x98\x80\""));
+    EXPECT_TRUE(m_bucket.find("kept")->answer);
+    const auto parsed = claim_bucket::from_text(m_bucket.to_text(), m_reason);
+    EXPECT_TRUE(parsed && *parsed == m_bucket);
+}
+
+// Guards against claims whose key changes when the bucket is written back.
+TEST_F(claim_bucket_test, key_that_is_not_utf8_is_malformed)
+{
+    EXPECT_FALSE(
+        claim_bucket::from_text("{\"claims\":{\"\xfe\":{\"t\":\"t\",\"r\":\"r\"}}}", m_reason));
+    EXPECT_EQ(m_reason.kind, base::error_kind::protocol);
+}
+
 // Guards against running commands on top of a document that cannot be read.
 TEST_F(claim_bucket_test, malformed_text_is_refused)
 {
