--- a/programs/entry/agent_link.cpp
+++ b/programs/entry/agent_link.cpp
@@ -59,7 +59,7 @@
         ask_for_view();
         hand_over();
         // Connection shares and drains change with time also when the view does not.
-        const auto view = m_views.current();
+        const auto view = m_views.expire_drains(std::chrono::steady_clock::now());
         if (view && std::chrono::steady_clock::now() >= next_refresh)
         {
             m_on_view(view);
@@ -124,10 +124,6 @@
         return;
     }
     m_revision = view->revision;
-    // An agent that has just started may not have read the configuration yet. Its view would refuse
-    // every service as unknown, and make this VM ready.
-    if (view->configuration_version == 0 && !m_views.current())
-        return;
     const auto adopted = m_views.adopt(std::move(*view), std::chrono::steady_clock::now());
     if (!adopted)
         return;
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -224,7 +224,7 @@
         return nullptr;
     }
     void begin(const configuration::replica&, attempt_kind) { ++shared->begun; }
-    void finish(const configuration::replica&, attempt_kind, const sub_reply&, base::duration)
+    void finish(const configuration::replica&, attempt_kind, const sub_reply&, base::duration, bool)
     {
         ++shared->finished;
     }
@@ -457,10 +457,13 @@
 
     void TearDown() override
     {
+        // All coroutines end before the context that they use goes.
         if (m_server)
+        {
             m_server->stop_accepting();
+            m_server->abort_connections();
+        }
         m_work.reset();
-        m_context.stop();
         for (std::thread& item : m_threads)
             item.join();
     }
