Agent: Answer live inquiries for the whole system

The agent refused select and explain, so that an operator had to ask each entry's operator port.

A live_source gathers rows from all live members' agents at the same time by the method inspect, which needs the credential, and names VMs that do not answer. explain request asks the VM in the id and then the durable records. The explanation of a partial answer failed, because the record listed missing shards as names and the explanation expected objects; the record now holds shard, reason and data centres.

--- a/programs/agent/agent_process.cpp
+++ b/programs/agent/agent_process.cpp
@@ -62,9 +62,11 @@
     m_follower = std::make_unique<platform_follower>(m_context, *m_store, std::move(seeds), m_state,
                                                      *m_gossip, m_events, m_metrics);
     m_records = std::make_unique<record_writer>(*m_store, m_settings.identity, m_events, m_metrics);
-    m_commands =
-        std::make_unique<command_service>(m_context, *m_store, m_settings.operator_credential,
-                                          m_state, m_events, [this] { m_follower->refresh(); });
+    m_live = std::make_unique<live_source>(m_context, *m_store, m_settings, m_state, *m_records,
+                                           m_events);
+    m_commands = std::make_unique<command_service>(m_context, *m_store, *m_live,
+                                                   m_settings.operator_credential, m_state,
+                                                   m_events, [this] { m_follower->refresh(); });
     add_methods();
     http::server_options options;
     options.address =
@@ -88,6 +90,8 @@
                          { return take_report(parameters); });
     m_control.add_method("fetch", [this](const Json::Value& parameters, base::error& reason)
                          { return m_peers->answer_fetch(parameters, reason); });
+    m_control.add_method("inspect", [this](const Json::Value& parameters, base::error& reason)
+                         { return m_live->answer_inspect(parameters, reason); });
     m_control.add_method("execute", [this](const Json::Value& parameters, base::error& reason)
                          { return m_commands->execute(parameters, reason); });
 }
--- a/programs/agent/agent_process.hpp
+++ b/programs/agent/agent_process.hpp
@@ -13,6 +13,7 @@
 #include "control_service.hpp"
 #include "gossip_service.hpp"
 #include "http/server.hpp"
+#include "live_source.hpp"
 #include "peer_exchange.hpp"
 #include "platform_follower.hpp"
 #include "record_writer.hpp"
@@ -53,6 +54,7 @@
     std::unique_ptr<peer_exchange> m_peers;
     std::unique_ptr<platform_follower> m_follower;
     std::unique_ptr<record_writer> m_records;
+    std::unique_ptr<live_source> m_live;
     std::unique_ptr<command_service> m_commands;
     control_service m_control;
     std::shared_ptr<http::server> m_server;
--- a/programs/agent/agent_settings.cpp
+++ b/programs/agent/agent_settings.cpp
@@ -23,6 +23,7 @@
          std::nullopt},
         {"platform-addresses", "platform store, ip:port separated by commas", std::nullopt},
         {"peer-addresses", "control addresses of some other agents, separated by commas", ""},
+        {"entry-address", "operator port of this VM's entry, ip:port", "127.0.0.1:8081"},
         {"operator-credential", "what operators must present; empty refuses all commands", ""},
         {"log-level", "lowest level on standard error: debug, info, warning or error", "info"},
         {"check", "check the settings and exit", "", true},
@@ -65,8 +66,9 @@
     const auto control = table->address("control-address", reason);
     const auto platform = table->addresses("platform-addresses", reason);
     const auto peers = table->addresses("peer-addresses", reason);
+    const auto entry = table->address("entry-address", reason);
     const auto threshold = parse_level(table->text("log-level"), reason);
-    if (!control || !platform || !peers || !threshold)
+    if (!control || !platform || !peers || !entry || !threshold)
         return std::nullopt;
     if (platform->empty())
         return base::fail(reason, base::error_kind::invalid_settings,
@@ -74,6 +76,7 @@
     result.control_address = *control;
     result.platform_addresses = *platform;
     result.peer_addresses = *peers;
+    result.entry_address = *entry;
     result.operator_credential = table->text("operator-credential");
     result.threshold = *threshold;
     result.is_check = table->is_set("check");
--- a/programs/agent/agent_settings.hpp
+++ b/programs/agent/agent_settings.hpp
@@ -22,6 +22,8 @@
     settings::socket_address control_address;
     std::vector<settings::socket_address> platform_addresses;
     std::vector<settings::socket_address> peer_addresses;
+    /// Operator port of this VM's entry.
+    settings::socket_address entry_address;
     /// Operators must present it with a command; commands are refused while it is empty.
     std::string operator_credential;
     observe::log_level threshold = observe::log_level::info;
--- a/programs/agent/command_service.cpp
+++ b/programs/agent/command_service.cpp
@@ -11,6 +11,7 @@
 #include <fmt/format.h>
 
 #include "configuration/credential.hpp"
+#include "operators/live_inquiry_executor.hpp"
 
 namespace ospreystair::agent
 {
@@ -33,11 +34,12 @@
 } // namespace
 
 command_service::command_service(http::asio::io_context& context,
-                                 platform::http_object_store& store, std::string credential,
-                                 agent_state& state, observe::event_log& events,
-                                 std::function<void()> refresh)
-    : m_context(context), m_credential(std::move(credential)), m_state(state), m_events(events),
-      m_refresh(std::move(refresh)), m_tokens(events.identity()), m_executor(store, m_tokens)
+                                 platform::http_object_store& store, live_source& live,
+                                 std::string credential, agent_state& state,
+                                 observe::event_log& events, std::function<void()> refresh)
+    : m_context(context), m_live(live), m_credential(std::move(credential)), m_state(state),
+      m_events(events), m_refresh(std::move(refresh)), m_tokens(events.identity()),
+      m_executor(store, m_tokens)
 {
 }
 
@@ -59,6 +61,8 @@
     context.operator_name = parameters.get("operator", "operator").asString();
     context.current = m_state.current_view();
     std::string command = parameters["command"].asString();
+    if (operators::is_live_inquiry(command))
+        return execute_live(command, reason);
     const auto deadline = std::chrono::steady_clock::now() + command_time;
     const auto outcome = std::make_shared<command_outcome>();
     auto finished = http::asio::co_spawn(
@@ -87,4 +91,29 @@
     return result;
 }
 
+std::optional<Json::Value> command_service::execute_live(const std::string& command,
+                                                         base::error& reason)
+{
+    const auto deadline = std::chrono::steady_clock::now() + command_time;
+    const auto outcome = std::make_shared<command_outcome>();
+    // One strand for the inquiry and the calls that it starts.
+    auto finished = http::asio::co_spawn(
+        http::asio::make_strand(m_context),
+        [this, outcome, command, deadline]() -> http::awaitable<void>
+        {
+            outcome->output = co_await operators::execute_live_inquiry(m_live, command, deadline,
+                                                                       outcome->reason);
+        },
+        http::asio::use_future);
+    if (finished.wait_until(deadline + command_grace) != std::future_status::ready)
+        return base::fail(reason, base::error_kind::timeout,
+                          "the inquiry did not end in time; ask again or another VM");
+    reason = outcome->reason;
+    if (!outcome->output)
+        return std::nullopt;
+    Json::Value result;
+    result["output"] = std::move(*outcome->output);
+    return result;
+}
+
 } // namespace ospreystair::agent
--- a/programs/agent/command_service.hpp
+++ b/programs/agent/command_service.hpp
@@ -14,6 +14,7 @@
 #include "base/identifier.hpp"
 #include "configuration/command_executor.hpp"
 #include "http/asio.hpp"
+#include "live_source.hpp"
 #include "observe/event_log.hpp"
 #include "platform/http_object_store.hpp"
 
@@ -27,14 +28,17 @@
     /// `refresh` is called after a command and must not block. All references must outlive the
     /// service.
     command_service(http::asio::io_context& context, platform::http_object_store& store,
-                    std::string credential, agent_state& state, observe::event_log& events,
-                    std::function<void()> refresh);
+                    live_source& live, std::string credential, agent_state& state,
+                    observe::event_log& events, std::function<void()> refresh);
 
     /// Blocks until the command ends. Must not be called on a network thread.
     std::optional<Json::Value> execute(const Json::Value& parameters, base::error& reason);
 
 private:
+    std::optional<Json::Value> execute_live(const std::string& command, base::error& reason);
+
     http::asio::io_context& m_context;
+    live_source& m_live;
     const std::string m_credential;
     agent_state& m_state;
     observe::event_log& m_events;
--- a/programs/agent/control_service.cpp
+++ b/programs/agent/control_service.cpp
@@ -95,9 +95,10 @@
 {
     base::error reason;
     const auto parsed = rpc::parse_json(text, reason);
-    const bool is_command =
-        parsed && parsed->isObject() && (*parsed)["method"] == Json::Value("execute");
-    auto& pool = is_command ? m_command_worker : m_workers;
+    const Json::Value method = parsed && parsed->isObject() ? (*parsed)["method"] : Json::Value();
+    auto& pool = method == Json::Value("execute")   ? m_command_worker
+                 : method == Json::Value("inspect") ? m_inspection_worker
+                                                    : m_workers;
     std::string reply = co_await http::asio::co_spawn(
         pool.get_executor(),
         [this, &text]() -> http::awaitable<std::string> { co_return m_server.answer(text); },
@@ -109,6 +110,7 @@
 {
     m_workers.join();
     m_command_worker.join();
+    m_inspection_worker.join();
 }
 
 } // namespace ospreystair::agent
--- a/programs/agent/control_service.hpp
+++ b/programs/agent/control_service.hpp
@@ -47,6 +47,8 @@
     // wait for the platform, and the entry polls `view` every 100 ms.
     http::asio::thread_pool m_workers{2};
     http::asio::thread_pool m_command_worker{1};
+    // Inspections wait for the entry and must not delay `view` either.
+    http::asio::thread_pool m_inspection_worker{2};
     std::atomic<bool> m_is_stopping{false};
 };
 
--- a/programs/agent/record_writer.cpp
+++ b/programs/agent/record_writer.cpp
@@ -67,6 +67,23 @@
                                 "the log lines of the entries for these requests"}});
 }
 
+std::optional<Json::Value> record_writer::find_pending(const std::string& request_id)
+{
+    const std::scoped_lock lock(m_mutex);
+    base::error ignored;
+    for (const std::string& text : m_pending)
+        if (text.find(request_id) != std::string::npos)
+            if (auto record = rpc::parse_json(text, ignored);
+                record && (*record)["request_id"] == Json::Value(request_id))
+                return record;
+    if (m_batch.find(request_id) != std::string::npos)
+        if (const auto batch = rpc::parse_json(m_batch, ignored))
+            for (const Json::Value& record : (*batch)["records"])
+                if (record["request_id"] == Json::Value(request_id))
+                    return record;
+    return std::nullopt;
+}
+
 asio::awaitable<void> record_writer::run()
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/programs/agent/record_writer.hpp
+++ b/programs/agent/record_writer.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <string>
 
 #include <json/json.h>
@@ -36,6 +37,9 @@
     /// Takes the records of a report.
     void add(const Json::Value& records);
 
+    /// Returns a record that waits to be written, if it is still here.
+    std::optional<Json::Value> find_pending(const std::string& request_id);
+
     /// Writes a batch every 5 s at most; 82 writes/s at 410 nodes.
     http::awaitable<void> run();
 
--- a/programs/ctl/agent_session.cpp
+++ b/programs/ctl/agent_session.cpp
@@ -74,8 +74,8 @@
     std::string error_text;
     const rpc::call_status status =
         client.call("execute", rpc::to_text(parameters), result, error_text);
-    // Asked first, because the library takes some of the agents' codes for its own.
-    if (const auto refusal = operators::refusal_from_text(error_text);
+    // Asked first, because the library takes some codes of earlier releases for its own.
+    if (const auto refusal = operators::read_refusal(client.refusal_kind(), error_text);
         refusal && status != rpc::call_status::answered)
     {
         reason = *refusal;
--- a/programs/entry/entry_policy.hpp
+++ b/programs/entry/entry_policy.hpp
@@ -64,6 +64,12 @@
     /// Connections that this VM may open to a replica now.
     std::size_t connection_limit(const configuration::replica& target) const;
 
+    /// What has been observed of a replica.
+    routing::replica_snapshot observation_of(const std::string& replica_name)
+    {
+        return m_tracker.snapshot(replica_name);
+    }
+
     /// Returns the decisions for one query; empty when the service takes commands, which must be
     /// neither retried nor hedged.
     std::optional<query_decisions> decide_for(const configuration::service& service,
--- a/programs/entry/operator_service.cpp
+++ b/programs/entry/operator_service.cpp
@@ -3,6 +3,7 @@
 #include "programs/entry/operator_service.hpp"
 
 #include <charconv>
+#include <chrono>
 
 #include <fmt/format.h>
 
@@ -27,6 +28,37 @@
     return value;
 }
 
+std::string_view state_of(const routing::replica_snapshot& observed, bool is_draining)
+{
+    if (is_draining)
+        return "draining";
+    if (observed.ejected)
+        return "ejected";
+    if (observed.probe_due)
+        return "probe_due";
+    if (observed.shedding)
+        return "shedding";
+    return observed.warm_share < 1 ? "warming_up" : "in_use";
+}
+
+Json::Value describe_upstream(const configuration::replica& replica,
+                              const routing::replica_snapshot& observed, bool is_in_drain_list)
+{
+    const bool is_draining = observed.draining || is_in_drain_list;
+    Json::Value row;
+    row["upstream"] = replica.name;
+    row["replica_data_centre"] = replica.data_centre;
+    row["address"] = replica.address.to_text();
+    row["state"] = std::string(state_of(observed, is_draining));
+    row["draining"] = is_draining;
+    row["in_flight"] = observed.in_flight;
+    row["slots"] = observed.slots;
+    row["failures"] = observed.failures;
+    if (observed.latency)
+        row["latency_ms"] = std::chrono::duration<double, std::milli>(*observed.latency).count();
+    return row;
+}
+
 } // namespace
 
 http::response operator_service::answer(const http::request& message)
@@ -47,11 +79,13 @@
     if (path == "/events")
         return http::make_json_response(http::status::ok, m_context.log.to_json(read_after(query)));
     if (path == "/requests")
-        return answer_requests();
+        return answer_requests(query == "?summary");
+    if (path == "/upstreams")
+        return answer_upstreams();
     if (path.starts_with(requests_prefix))
         return answer_request(path.substr(requests_prefix.size()));
-    return http::make_text_response(http::status::not_found,
-                                    "use /live, /ready, /metrics, /events or /requests\n");
+    return http::make_text_response(
+        http::status::not_found, "use /live, /ready, /metrics, /events, /requests or /upstreams\n");
 }
 
 http::response operator_service::answer_ready() const
@@ -75,12 +109,34 @@
     return http::make_json_response(http::status::ok, rpc::to_text(query::to_json(*record)));
 }
 
-http::response operator_service::answer_requests() const
+http::response operator_service::answer_requests(bool is_summary) const
 {
     Json::Value document;
     document["requests"] = Json::arrayValue;
     for (const auto& record : m_context.records.recent(listed_requests))
-        document["requests"].append(query::to_json(*record));
+        document["requests"].append(is_summary ? query::to_summary_json(*record)
+                                               : query::to_json(*record));
+    return http::make_json_response(http::status::ok, rpc::to_text(document));
+}
+
+http::response operator_service::answer_upstreams() const
+{
+    Json::Value document;
+    document["upstreams"] = Json::arrayValue;
+    if (const auto view = m_context.views.current())
+        for (const auto& [service_name, service] : view->configuration.services)
+            for (const configuration::shard& shard : service.shards)
+                for (const configuration::replica& replica : shard.replicas)
+                {
+                    Json::Value row =
+                        describe_upstream(replica, m_context.policy.observation_of(replica.name),
+                                          view->draining.contains(replica.name));
+                    row["service"] = service_name;
+                    row["shard"] = shard.name;
+                    const auto pool = m_context.upstreams.find_pool(replica.name);
+                    row["connections"] = Json::UInt64{pool ? pool->open_count() : 0};
+                    document["upstreams"].append(std::move(row));
+                }
     return http::make_json_response(http::status::ok, rpc::to_text(document));
 }
 
--- a/programs/entry/operator_service.hpp
+++ b/programs/entry/operator_service.hpp
@@ -20,7 +20,8 @@
 private:
     http::response answer_ready() const;
     http::response answer_request(std::string_view request_id) const;
-    http::response answer_requests() const;
+    http::response answer_requests(bool is_summary) const;
+    http::response answer_upstreams() const;
     http::response change_log_level(const std::string& text);
 
     entry_context& m_context;
--- a/programs/entry/query_service.cpp
+++ b/programs/entry/query_service.cpp
@@ -145,9 +145,17 @@
     record.elapsed = std::chrono::duration_cast<std::chrono::microseconds>(elapsed);
     record.shard_count = answers.shard_count();
     record.answered_count = answers.answered_count();
-    for (const auto& entry : answers.entries())
-        if (!entry.is_answered)
-            record.missing.push_back(entry.shard);
+    for (std::size_t index = 0; index < answers.shard_count(); ++index)
+    {
+        const auto& entry = answers.entries()[index];
+        if (entry.is_answered)
+            continue;
+        query::missing_shard missing{entry.shard, entry.missing_reason, {}};
+        if (const configuration::shard* const shard = run.snapshot().shard_at(index))
+            for (const configuration::replica& item : shard->replicas)
+                missing.data_centres.insert(item.data_centre);
+        record.missing.push_back(std::move(missing));
+    }
     record.attempts = run.attempts();
     m_context.log.write(observe::log_level::debug, "query_answered", record.request_id,
                         {{"service", record.service},
--- a/programs/entry/view_holder.cpp
+++ b/programs/entry/view_holder.cpp
@@ -7,6 +7,24 @@
 namespace ospreystair::entry
 {
 
+namespace
+{
+
+// Drains by operators belong to the configuration: those of the newer one are kept with it, and
+// those of the older one count only while the view in use has them too, for example from the news.
+void keep_configuration(const configuration::view& held, configuration::view& candidate)
+{
+    for (const std::string& name : candidate.configuration.draining)
+        if (!held.draining.contains(name))
+            candidate.draining.erase(name);
+    candidate.configuration = held.configuration;
+    candidate.configuration_version = held.configuration_version;
+    candidate.draining.insert(held.configuration.draining.begin(),
+                              held.configuration.draining.end());
+}
+
+} // namespace
+
 std::shared_ptr<const configuration::view> view_holder::current() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -24,8 +42,7 @@
     {
         if (m_view->configuration_version > candidate.configuration_version)
         {
-            candidate.configuration = m_view->configuration;
-            candidate.configuration_version = m_view->configuration_version;
+            keep_configuration(*m_view, candidate);
         }
         for (const auto& [service_name, state] : m_view->indexes)
         {
--- a/source/base/error.hpp
+++ b/source/base/error.hpp
@@ -13,7 +13,8 @@
 namespace ospreystair::base
 {
 
-/// What went wrong, as far as a caller can act on it.
+/// What went wrong, as far as a caller can act on it. The numbers are part of the JSON-RPC
+/// protocol: add kinds at the end only.
 enum class error_kind
 {
     none,
--- a/source/operators/agent_refusal.cpp
+++ b/source/operators/agent_refusal.cpp
@@ -38,4 +38,13 @@
     return std::nullopt;
 }
 
+std::optional<base::error> read_refusal(int kind_number, const std::string& text)
+{
+    auto from_text = refusal_from_text(text);
+    if (kind_number <= 0 || kind_number > static_cast<int>(base::error_kind::internal))
+        return from_text;
+    const auto kind = static_cast<base::error_kind>(kind_number);
+    return base::error{kind, from_text ? from_text->message : text, std::nullopt};
+}
+
 } // namespace ospreystair::operators
--- a/source/operators/explanation.cpp
+++ b/source/operators/explanation.cpp
@@ -46,6 +46,12 @@
                                 text_of(coverage, "shards")));
     for (const Json::Value& missing : coverage["missing"])
     {
+        // An entry of an earlier release gives names only.
+        if (missing.isString())
+        {
+            lines.push_back(fmt::format("  shard {} is missing", missing.asString()));
+            continue;
+        }
         std::string line = fmt::format("  shard {} is missing: {}", text_of(missing, "shard"),
                                        text_of(missing, "reason"));
         std::string_view separator = ", in ";
@@ -91,6 +97,8 @@
 std::vector<std::string> describe(const Json::Value& record)
 {
     std::vector<std::string> lines{describe_request(record), describe_time(record)};
+    if (record.isMember("source"))
+        lines.push_back(fmt::format("source: {}", text_of(record, "source")));
     if (record["snapshot"].isObject())
         lines.push_back(describe_snapshot(record));
     if (record["coverage"].isObject())
--- a/source/query/request_record.cpp
+++ b/source/query/request_record.cpp
@@ -28,28 +28,19 @@
     return value;
 }
 
-} // namespace
-
-std::string_view to_string(attempt_kind kind)
+Json::Value to_json(const missing_shard& missing)
 {
-    switch (kind)
-    {
-    case attempt_kind::first:
-        return "first";
-    case attempt_kind::retry:
-        return "retry";
-    case attempt_kind::hedge:
-        return "hedge";
-    }
-    return "first";
-}
-
-bool request_record::is_durable() const
-{
-    return kind == "command" || outcome != "ran" || answered_count < shard_count;
+    Json::Value value;
+    value["shard"] = missing.shard;
+    value["reason"] = std::string(to_string(missing.reason));
+    value["data_centres"] = Json::arrayValue;
+    for (const std::string& name : missing.data_centres)
+        value["data_centres"].append(name);
+    return value;
 }
 
-Json::Value to_json(const request_record& record)
+// The record without its lists.
+Json::Value make_common(const request_record& record)
 {
     Json::Value value;
     value["request_id"] = record.request_id;
@@ -65,9 +56,6 @@
     value["elapsed_ms"] = to_milliseconds(record.elapsed);
     value["coverage"]["shards"] = Json::UInt64{record.shard_count};
     value["coverage"]["answered"] = Json::UInt64{record.answered_count};
-    value["coverage"]["missing"] = Json::arrayValue;
-    for (const std::string& shard : record.missing)
-        value["coverage"]["missing"].append(shard);
     if (!record.refusal_kind.empty())
     {
         value["refusal"]["kind"] = record.refusal_kind;
@@ -79,10 +67,48 @@
         value["claim"]["state"] = record.claim_state;
     }
     value["restarts"] = record.restart_count;
+    return value;
+}
+
+} // namespace
+
+std::string_view to_string(attempt_kind kind)
+{
+    switch (kind)
+    {
+    case attempt_kind::first:
+        return "first";
+    case attempt_kind::retry:
+        return "retry";
+    case attempt_kind::hedge:
+        return "hedge";
+    }
+    return "first";
+}
+
+bool request_record::is_durable() const
+{
+    return kind == "command" || outcome != "ran" || answered_count < shard_count;
+}
+
+Json::Value to_json(const request_record& record)
+{
+    Json::Value value = make_common(record);
+    value["coverage"]["missing"] = Json::arrayValue;
+    for (const missing_shard& missing : record.missing)
+        value["coverage"]["missing"].append(to_json(missing));
     value["sub_requests"] = Json::arrayValue;
     for (const attempt_record& attempt : record.attempts)
         value["sub_requests"].append(to_json(attempt));
     return value;
 }
 
+Json::Value to_summary_json(const request_record& record)
+{
+    Json::Value value = make_common(record);
+    value["coverage"]["missing"] = Json::UInt64{record.missing.size()};
+    value["sub_requests"] = Json::UInt64{record.attempts.size()};
+    return value;
+}
+
 } // namespace ospreystair::query
--- a/source/query/request_record.hpp
+++ b/source/query/request_record.hpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,15 @@
     bool is_finished = false;
 };
 
+/// A shard without an answer.
+struct missing_shard
+{
+    std::string shard;
+    sub_result reason = sub_result::timeout;
+    /// Where the configuration has replicas of it.
+    std::set<std::string> data_centres;
+};
+
 /// One request from arrival to answer.
 struct request_record
 {
@@ -55,7 +65,7 @@
     std::chrono::microseconds elapsed{0};
     std::size_t shard_count = 0;
     std::size_t answered_count = 0;
-    std::vector<std::string> missing;
+    std::vector<missing_shard> missing;
     std::string refusal_kind;
     std::string refusal_message;
     std::string idempotency_key;
@@ -69,6 +79,8 @@
 };
 
 Json::Value to_json(const request_record& record);
+/// The same with the number of elements in place of each list, for listings of many requests.
+Json::Value to_summary_json(const request_record& record);
 
 } // namespace ospreystair::query
 
--- a/source/routing/replica_tracker.hpp
+++ b/source/routing/replica_tracker.hpp
@@ -33,6 +33,8 @@
 {
     std::uint32_t in_flight = 0;
     std::uint32_t slots = 1;
+    /// Failures since the last usable reply.
+    std::uint32_t failures = 0;
     /// Smoothed latency; absent until a first request has completed.
     std::optional<base::duration> latency;
     /// Known to be leaving: receives no new work.
@@ -356,6 +358,7 @@
         replica_snapshot result;
         result.in_flight = replica.in_flight;
         result.slots = replica.slots;
+        result.failures = replica.failures;
         if (replica.latency_at)
             result.latency = current_latency(replica, now);
         result.draining = replica.news_draining || replica.observed_draining;
--- a/source/rpc/rpc_client.cpp
+++ b/source/rpc/rpc_client.cpp
@@ -32,6 +32,7 @@
 call_status rpc_client::call(const std::string& method, const std::string& parameters,
                              std::string& result, std::string& error_text)
 {
+    m_refusal_kind = 0;
     Json::Value arguments;
     const std::unique_ptr<Json::CharReader> reader(Json::CharReaderBuilder().newCharReader());
     if (!reader->parse(parameters.data(), parameters.data() + parameters.size(), &arguments,
@@ -49,6 +50,8 @@
     {
         error_text = exception.GetMessage();
         const int code = exception.GetCode();
+        if (code > first_application_code && code < first_application_code + application_code_count)
+            m_refusal_kind = code - first_application_code;
         if (code == jsonrpc::Errors::ERROR_CLIENT_CONNECTOR)
             return call_status::unreachable;
         if (code == jsonrpc::Errors::ERROR_CLIENT_INVALID_RESPONSE)
--- a/source/rpc/rpc_client.hpp
+++ b/source/rpc/rpc_client.hpp
@@ -13,6 +13,13 @@
 namespace rpc
 {
 
+/// Codes of JSON-RPC errors are this plus the number of a base::error_kind. JSON-RPC reserves
+/// -32768 to -32000, and libjsonrpccpp uses several of these codes itself. Earlier releases gave
+/// -32000 minus the number; clients read the kind from the message text then.
+constexpr int first_application_code = 1000;
+/// Room for kinds of later releases.
+constexpr int application_code_count = 1000;
+
 /// What became of a call.
 enum class call_status
 {
@@ -37,9 +44,14 @@
     call_status call(const std::string& method, const std::string& parameters, std::string& result,
                      std::string& error_text);
 
+    /// The number of the base::error_kind with which the last call was refused; 0 when it was not
+    /// refused, or by an earlier release, whose error text alone names the kind.
+    int refusal_kind() const { return m_refusal_kind; }
+
 private:
     struct implementation;
     std::unique_ptr<implementation> m_implementation;
+    int m_refusal_kind = 0;
 };
 
 } // namespace rpc
--- a/source/rpc/rpc_server.cpp
+++ b/source/rpc/rpc_server.cpp
@@ -7,17 +7,11 @@
 #include <fmt/format.h>
 #include <jsonrpccpp/server.h>
 
-namespace ospreystair::rpc
-{
+#include "rpc/rpc_client.hpp"
 
-namespace
+namespace ospreystair::rpc
 {
 
-// The first code that the JSON-RPC specification leaves to applications.
-constexpr int first_application_code = -32000;
-
-} // namespace
-
 class rpc_server::implementation : public jsonrpc::IProcedureInvokationHandler
 {
 public:
@@ -48,7 +42,7 @@
         auto result = m_methods.at(procedure.GetProcedureName())(input, reason);
         if (!result)
             throw jsonrpc::JsonRpcException(
-                first_application_code - static_cast<int>(reason.kind),
+                first_application_code + static_cast<int>(reason.kind),
                 fmt::format("{}: {}", base::to_string(reason.kind), reason.message));
         output = std::move(*result);
     }
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -246,6 +246,8 @@
                                           local(item.control_port),
                                           "--platform-addresses",
                                           local(m_platform_port),
+                                          "--entry-address",
+                                          local(item.operator_port),
                                           "--operator-credential",
                                           "secret",
                                           "--log-level",
--- a/tests/unit/operators_output_test.cpp
+++ b/tests/unit/operators_output_test.cpp
@@ -97,6 +97,27 @@
 }
 
 // Guards against crashes on the answer of a process that is no agent.
+// Guards against a client that understands agents of only one of two releases in use side by side.
+TEST_F(output_test, refusal_kind_is_taken_from_the_number_or_else_from_the_text)
+{
+    const int conflict = static_cast<int>(base::error_kind::conflict);
+    const auto numbered = read_refusal(conflict, "conflict: changed by somebody");
+    ASSERT_TRUE(numbered);
+    EXPECT_EQ(numbered->kind, base::error_kind::conflict);
+    EXPECT_EQ(numbered->message, "changed by somebody");
+    const auto earlier = read_refusal(0, "Procedure not found: not_found: no shard: s1");
+    ASSERT_TRUE(earlier);
+    EXPECT_EQ(earlier->kind, base::error_kind::not_found);
+    const auto later = read_refusal(999, "not_found: no shard: s1");
+    ASSERT_TRUE(later);
+    EXPECT_EQ(later->kind, base::error_kind::not_found);
+    const auto other_words = read_refusal(conflict, "changed");
+    ASSERT_TRUE(other_words);
+    EXPECT_EQ(other_words->kind, base::error_kind::conflict);
+    EXPECT_EQ(other_words->message, "changed");
+    EXPECT_FALSE(read_refusal(0, "Internal error"));
+}
+
 RC_GTEST_PROP(output_property, random_json_is_rendered_or_refused, (const std::string& bytes))
 {
     base::error reason;
