--- a/source/query/connection_pool.cpp
+++ b/source/query/connection_pool.cpp
@@ -54,6 +54,12 @@
     const auto self = shared_from_this();
     const asio::any_io_executor executor = co_await asio::this_coro::executor;
     std::shared_ptr<waiter> own;
+    // A cancellation before the wait would not end it.
+    if (cancel->is_cancelled())
+    {
+        base::fail(reason, base::error_kind::cancelled, "the request was cancelled");
+        co_return std::nullopt;
+    }
     {
         const std::scoped_lock lock(m_mutex);
         if (m_is_closed)
@@ -169,6 +175,15 @@
     wake_one(nullptr);
 }
 
+void connection_pool::close_idle()
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const connection_pointer& connection : m_idle)
+        connection->close();
+    m_open_count -= m_idle.size();
+    m_idle.clear();
+}
+
 void connection_pool::set_limit(std::size_t limit)
 {
     const std::scoped_lock lock(m_mutex);
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -3,14 +3,14 @@
 #include "query/upstream_client.hpp"
 
 #include <algorithm>
+#include <memory>
+#include <optional>
 #include <set>
 #include <utility>
 
 #include <fmt/format.h>
 #include <json/json.h>
 
-#include "rpc/rpc_server.hpp"
-
 namespace ospreystair::query
 {
 
@@ -65,15 +65,34 @@
     return {value.data(), value.size()};
 }
 
-// An upstream reports some failures as a successful reply with an "error" member. A text search
-// avoids parsing the many replies that cannot have one.
-bool has_error_member(const std::string& body)
+// Each answer becomes part of the caller's document as it is, so that one that is not JSON would
+// spoil the answers of all shards.
+std::optional<Json::Value> parse_answer(const std::string& body)
 {
-    if (body.find("\"error\"") == std::string::npos)
-        return false;
-    base::error ignored;
-    const auto document = rpc::parse_json(body, ignored);
-    return document && document->isObject() && document->isMember("error");
+    const auto make_reader = []
+    {
+        // Bounds the stack that a hostile or broken replica can use.
+        constexpr int max_depth = 128;
+        Json::CharReaderBuilder builder;
+        Json::CharReaderBuilder::strictMode(&builder.settings_);
+        builder["strictRoot"] = false;
+        builder["stackLimit"] = max_depth;
+        return std::unique_ptr<Json::CharReader>(builder.newCharReader());
+    };
+    // Making a reader takes several times as long as reading a small answer.
+    thread_local const std::unique_ptr<Json::CharReader> reader = make_reader();
+    Json::Value value;
+    std::string ignored;
+    try
+    {
+        if (reader->parse(body.data(), body.data() + body.size(), &value, &ignored))
+            return value;
+    }
+    catch (const Json::Exception&)
+    {
+        // Nested too deeply.
+    }
+    return std::nullopt;
 }
 
 } // namespace
@@ -145,7 +164,11 @@
     base::error reason;
     auto connection = co_await pool->acquire(deadline, cancel, reason);
     if (!connection)
-        co_return make_failure(to_result(reason.kind), reason.kind, reason.message);
+    {
+        sub_reply refused = make_failure(to_result(reason.kind), reason.kind, reason.message);
+        refused.is_unsent = refused.result == sub_result::unreachable;
+        co_return refused;
+    }
     if (cancel->is_cancelled())
     {
         pool->release(std::move(*connection));
@@ -161,6 +184,10 @@
     cancel->on_cancel(nullptr);
     if (!reply)
     {
+        // A replica that reset one connection has most likely stopped, and each idle connection
+        // that is found dead later costs another request an attempt.
+        if (reason.kind == base::error_kind::unreachable)
+            pool->close_idle();
         pool->release(std::move(*connection));
         co_return make_failure(cancel->is_cancelled() ? sub_result::cancelled
                                                       : to_result(reason.kind),
@@ -230,7 +257,12 @@
                                         "dropped",
                                         header(reply, "X-Index-Version"), message.index_version));
     }
-    if (has_error_member(reply.body()))
+    const auto document = parse_answer(reply.body());
+    if (!document)
+        return make_failure(sub_result::failed, base::error_kind::protocol,
+                            "the replica's answer is not JSON; see its log");
+    // An upstream reports some failures as a successful reply with an "error" member.
+    if (document->isObject() && document->isMember("error"))
         return make_failure(sub_result::failed, base::error_kind::protocol,
                             "the replica's answer holds an error; see its log");
     return {sub_result::answered, reply.body(), {}};
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -53,6 +53,12 @@
     allocate_ports();
     m_platform_direct_port = next_port();
     m_platform_port = m_plan.use_proxy ? next_port() : m_platform_direct_port;
+    if (m_plan.use_proxy && m_plan.has_platform_route_per_vm)
+        for (std::size_t index = 0;
+             index <
+             m_plan.data_centres.size() * static_cast<std::size_t>(m_plan.vms_per_data_centre);
+             ++index)
+            m_vm_platform_ports.push_back(next_port());
     start_upstreams();
     if (m_plan.use_proxy)
         start_proxy();
@@ -74,9 +80,10 @@
     for (std::size_t index = 0; index < m_vms.size(); ++index)
     {
         start_agent(index);
-        start_entry(index);
+        if (m_plan.has_entries)
+            start_entry(index);
     }
-    for (std::size_t index = 0; index < m_vms.size(); ++index)
+    for (std::size_t index = 0; m_plan.has_entries && index < m_vms.size(); ++index)
         EXPECT_TRUE(wait_until_ready(index)) << m_vms[index].entry->log_text();
 }
 
@@ -139,6 +146,11 @@
     return fmt::format("{}-s{}-r{}", service, shard, replica);
 }
 
+std::string test_cluster::replica_address(const std::string& replica_name) const
+{
+    return local(m_replica_ports.at(replica_name));
+}
+
 std::string test_cluster::shard_name(const std::string& service, int shard)
 {
     return fmt::format("{}-s{}", service, shard);
@@ -161,8 +173,11 @@
                     service.slots, service.connections);
             }
     m_upstream_control_port = next_port();
-    m_upstreams = start("standin-upstream", "upstreams",
-                        {"--replicas", replicas, "--control", local(m_upstream_control_port)});
+    std::vector<std::string> arguments = {"--replicas", replicas, "--control",
+                                          local(m_upstream_control_port)};
+    arguments.insert(arguments.end(), m_plan.upstream_arguments.begin(),
+                     m_plan.upstream_arguments.end());
+    m_upstreams = start("standin-upstream", "upstreams", arguments);
     EXPECT_TRUE(wait_until(
         start_limit, [this]
         { return send_request(m_upstream_control_port, get("/control/counts")).status == 200; }))
@@ -173,6 +188,8 @@
 {
     std::string routes =
         fmt::format("{}={}", local(m_platform_port), local(m_platform_direct_port));
+    for (const int port : m_vm_platform_ports)
+        routes += fmt::format(";{}={}", local(port), local(m_platform_direct_port));
     for (const auto& [name, port] : m_direct_ports)
         routes += fmt::format(";{}={}", local(m_replica_ports.at(name)), local(port));
     m_proxy_control_port = next_port();
@@ -204,6 +221,7 @@
         entry["kind"] = service.kind;
         entry["prefer"] = service.prefer;
         entry["deadline_ms"] = service.deadline_ms;
+        entry["hedge_percent"] = service.hedge_percent;
         entry["shards"] = Json::arrayValue;
         for (int shard = 0; shard < service.shards; ++shard)
         {
@@ -245,7 +263,7 @@
                                           "--control-address",
                                           local(item.control_port),
                                           "--platform-addresses",
-                                          local(m_platform_port),
+                                          local(platform_port_of(index)),
                                           "--entry-address",
                                           local(item.operator_port),
                                           "--operator-credential",
@@ -260,13 +278,13 @@
 void test_cluster::start_entry(std::size_t index)
 {
     test_vm& item = m_vms.at(index);
-    item.entry =
-        start("ospreystair-entry", "entry-" + item.name,
-              {"--vm", item.name, "--data-centre", item.data_centre, "--caller-address",
-               local(item.caller_port), "--operator-address", local(item.operator_port),
-               "--agent-address", local(item.control_port), "--platform", local(m_platform_port),
-               "--drain-delay", std::to_string(m_plan.drain_delay_ms), "--threads",
-               std::to_string(m_plan.threads), "--log-level", m_plan.log_level});
+    item.entry = start("ospreystair-entry", "entry-" + item.name,
+                       {"--vm", item.name, "--data-centre", item.data_centre, "--caller-address",
+                        local(item.caller_port), "--operator-address", local(item.operator_port),
+                        "--agent-address", local(item.control_port), "--platform",
+                        local(platform_port_of(index)), "--drain-delay",
+                        std::to_string(m_plan.drain_delay_ms), "--threads",
+                        std::to_string(m_plan.threads), "--log-level", m_plan.log_level});
 }
 
 bool test_cluster::wait_until_ready(std::size_t index)
@@ -367,6 +385,11 @@
     return send_request(m_platform_direct_port, get("/control/counts")).json();
 }
 
+Json::Value test_cluster::proxy_counts()
+{
+    return send_request(m_proxy_control_port, get("/control/counts")).json();
+}
+
 Json::Value test_cluster::upstream_counts()
 {
     return send_request(m_upstream_control_port, get("/control/counts")).json();
