--- a/tests/unit/admission_test.cpp
+++ b/tests/unit/admission_test.cpp
@@ -277,6 +277,20 @@
     EXPECT_NEAR(static_cast<double>(m_queue.retry_after().count()), 200, 20);
 }
 
+// Guards against a drain rate that is far too low while it rests on the first moments of waiting,
+// so that a fresh entry refuses what it can serve.
+TEST_F(admission_queue_test, fresh_queue_accepts_what_its_first_completions_show_to_be_served)
+{
+    ASSERT_TRUE(add("search", "a", 20, 5s));
+    for (int completion = 0; completion < 4; ++completion)
+    {
+        m_clock.advance(5ms);
+        m_queue.record_completion(20);
+    }
+    for (int request = 0; request < 15; ++request)
+        EXPECT_TRUE(add("search", "a", 20, 1s)) << m_reason.message;
+}
+
 // Guards against a refusal that comes at the deadline although it was certain long before.
 TEST_F(admission_queue_test, request_is_hopeless_once_the_drain_rate_has_fallen)
 {
