--- a/source/admission/admission_queue.hpp
+++ b/source/admission/admission_queue.hpp
@@ -271,8 +271,13 @@
     void decay_rate(base::time_point now)
     {
         if (m_size != 0)
-            m_completed *= std::exp(-std::chrono::duration<double>(now - m_rate_at) /
-                                    std::chrono::duration<double>(m_settings.rate_memory));
+        {
+            const double memory = std::chrono::duration<double>(m_settings.rate_memory).count();
+            const double kept =
+                std::exp(-std::chrono::duration<double>(now - m_rate_at).count() / memory);
+            m_completed *= kept;
+            m_observed_s = m_observed_s * kept + memory * (1 - kept);
+        }
         m_rate_at = now;
     }
 
@@ -280,7 +285,9 @@
     double drain_rate(base::time_point now)
     {
         decay_rate(now);
-        return m_completed / std::chrono::duration<double>(m_settings.rate_memory).count();
+        // Divided by the time observed: until that reaches the memory, dividing by the memory would
+        // give a rate far too low, and a fresh queue would refuse what it can serve.
+        return m_observed_s < shortest_observation_s ? 0 : m_completed / m_observed_s;
     }
 
     /// Time until the work that fairness puts ahead of the request has drained. A caller that holds
@@ -365,6 +372,8 @@
         return false;
     }
 
+    // A rate over less time says nothing.
+    static constexpr double shortest_observation_s = 0.001;
     // Beyond this an estimate says only "too long".
     static constexpr double longest_wait_s = 3600;
     // Units per second below which the drain rate counts as unknown.
@@ -379,6 +388,8 @@
     std::uint64_t m_cost = 0;
     double m_virtual_time = 0;
     double m_completed = 0;
+    // Decayed like m_completed: the time in which requests waited.
+    double m_observed_s = 0;
     base::time_point m_rate_at;
 };
 
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -264,6 +264,8 @@
                                           local(item.control_port),
                                           "--platform-addresses",
                                           local(platform_port_of(index)),
+                                          "--entry-address",
+                                          local(item.operator_port),
                                           "--operator-credential",
                                           "secret",
                                           "--log-level",
