--- a/programs/agent/command_service.cpp
+++ b/programs/agent/command_service.cpp
@@ -68,10 +68,9 @@
     auto finished = http::asio::co_spawn(
         m_context,
         [this, outcome, command, context = std::move(context),
-         deadline]() mutable -> http::awaitable<void>
-        {
-            outcome->output = co_await m_executor.execute(std::move(command), std::move(context),
-                                                          deadline, outcome->reason);
+         deadline]() mutable -> http::awaitable<void> {
+            outcome->output =
+                co_await m_executor.execute(command, context, deadline, outcome->reason);
         },
         http::asio::use_future);
     if (finished.wait_until(deadline + command_grace) != std::future_status::ready)
--- a/programs/agent/live_source.cpp
+++ b/programs/agent/live_source.cpp
@@ -248,8 +248,12 @@
         const std::string target = "/requests/" + request_id;
         auto record = co_await ask_entry(target, limit, reason);
         result["complete"] = record.has_value() || reason.kind == base::error_kind::not_found;
-        if (!record && (record = m_records.find_pending(request_id)))
-            (*record)["source"] = "the agent's records that wait to be written to the platform";
+        if (!record)
+        {
+            record = m_records.find_pending(request_id);
+            if (record)
+                (*record)["source"] = "the agent's records that wait to be written to the platform";
+        }
         if (record)
             result["record"] = std::move(*record);
         co_return result;
