Entry: Say that a refused command is repeated under its key

An upstream's answer that was not JSON spoilt the caller's document. Ruled out: answering unknown to every command of an outage, which would send callers of first attempts to check for nothing. Conclusion: a caller that follows the refusal cannot run a command twice.

--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -7,6 +7,9 @@
 
 #include <fmt/format.h>
 
+#include "programs/entry/replies.hpp"
+#include "rpc/rpc_server.hpp"
+
 namespace ospreystair::entry
 {
 
@@ -35,6 +38,13 @@
     return reply[name] == "true";
 }
 
+// The answer becomes part of a JSON document; one that is not JSON itself becomes a string.
+std::string to_json_text(const std::string& body)
+{
+    base::error ignored;
+    return rpc::parse_json(body, ignored) ? body : quote(body);
+}
+
 // Only a reply to this very request says anything about it. Upstreams refuse without repeating the
 // request's id; such a refusal belongs to this request, because the connection carries no other.
 dispatch::outcome outcome_of(const command_request& command, const http::response& reply)
@@ -147,7 +157,7 @@
     query::sub_reply health{query::sub_result::unreachable, {}, result.reason};
     if (reply)
     {
-        result.answer = reply->body();
+        result.answer = to_json_text(reply->body());
         health.is_draining = is_true(*reply, "X-Draining");
         health.result = result.result == dispatch::outcome::ran ? query::sub_result::answered
                                                                 : query::sub_result::overloaded;
--- a/programs/entry/command_service.cpp
+++ b/programs/entry/command_service.cpp
@@ -179,7 +179,7 @@
     {
         base::fail(reason, base::error_kind::unreachable,
                    "not run: the platform does not answer, so the command cannot be claimed; come "
-                   "back later",
+                   "back later with the same key",
                    default_retry_after);
         co_return std::nullopt;
     }
--- a/source/dispatch/claim_ledger.hpp
+++ b/source/dispatch/claim_ledger.hpp
@@ -254,7 +254,7 @@
     static base::error timeout_reason(const operation& item)
     {
         return {base::error_kind::timeout,
-                item.is_claim ? "the claim was not confirmed in time and the command was not run; "
+                item.is_claim ? "the claim was not confirmed in time and this attempt was not run; "
                                 "send it again"
                               : "the outcome was not confirmed as stored in time; repeats may see "
                                 "the command as unknown",
