Agent: Advertise an address other than the one it listens on

Cause: a data centre cut off from its peers could not be caused in a test, since agents told each other the addresses they listen on; VMs behind address translation could not be reached either. Ruled out: freezing agents, which stops them instead of cutting them off. Conclusion: a cut-off VM serves queries, refuses commands as not run and has the new configuration and all members back within 18 s of healing.

--- a/programs/agent/agent_settings.cpp
+++ b/programs/agent/agent_settings.cpp
@@ -21,6 +21,8 @@
         {"data-centre", "data centre of this VM", std::nullopt},
         {"control-address", "ip:port for JSON-RPC (TCP) and membership (UDP); other VMs reach it",
          std::nullopt},
+        {"advertised-address",
+         "ip:port at which other VMs reach the control address, if it is another one", ""},
         {"platform-addresses", "platform store, ip:port separated by commas", std::nullopt},
         {"peer-addresses", "control addresses of some other agents, separated by commas", ""},
         {"entry-address", "operator port of this VM's entry, ip:port", "127.0.0.1:8081"},
@@ -74,6 +76,14 @@
         return base::fail(reason, base::error_kind::invalid_settings,
                           "--platform-addresses is empty; give at least one ip:port");
     result.control_address = *control;
+    result.advertised_address = *control;
+    if (table->is_set("advertised-address"))
+    {
+        const auto advertised = table->address("advertised-address", reason);
+        if (!advertised)
+            return std::nullopt;
+        result.advertised_address = *advertised;
+    }
     result.platform_addresses = *platform;
     result.peer_addresses = *peers;
     result.entry_address = *entry;
--- a/programs/agent/agent_settings.hpp
+++ b/programs/agent/agent_settings.hpp
@@ -20,6 +20,9 @@
     base::process_identity identity;
     /// TCP address of the control port and UDP address of the gossip port.
     settings::socket_address control_address;
+    /// Where other VMs reach the control and gossip port; differs from control_address behind
+    /// address translation.
+    settings::socket_address advertised_address;
     std::vector<settings::socket_address> platform_addresses;
     std::vector<settings::socket_address> peer_addresses;
     /// Operator port of this VM's entry.
--- a/programs/agent/gossip_service.cpp
+++ b/programs/agent/gossip_service.cpp
@@ -39,7 +39,7 @@
     protocol::member_record self;
     self.vm = settings.identity.vm;
     self.data_centre = settings.identity.data_centre;
-    self.address = settings.control_address.to_text();
+    self.address = settings.advertised_address.to_text();
     self.incarnation = static_cast<std::uint64_t>(settings.identity.incarnation.count());
     return self;
 }
--- /dev/null
+++ b/tests/integration/partition_test.cpp
@@ -0,0 +1,118 @@
+// A data centre cut off from its peers and from the platform goes on serving and converges later.
+
+#include <gtest/gtest.h>
+
+#include "tests/integration/test_cluster.hpp"
+
+namespace ospreystair::testing_support
+{
+
+class partition_test : public testing::Test
+{
+protected:
+    // The promised time for a change to be in force everywhere, counted from the healing.
+    static constexpr std::chrono::seconds in_force_limit{18};
+    static constexpr std::size_t lonely_vm = 2;
+
+    partition_test()
+        : m_cluster({.services = {{.name = "family-portal", .shards = 2},
+                                  {.name = "chapel-booking", .kind = "command", .shards = 1}},
+                     .data_centres = {"riga-centrs", "riga-purvciems", "riga-imanta"},
+                     .use_proxy = true,
+                     .has_platform_route_per_vm = true,
+                     .has_agent_routes = true})
+    {
+    }
+
+    // Cuts every path between agents, and the path of one VM to the platform, or restores them.
+    void set_paths(const std::string& mode)
+    {
+        std::string routes =
+            "\"127.0.0.1:" + std::to_string(m_cluster.platform_port_of(lonely_vm)) + "\"";
+        for (std::size_t index = 0; index < m_cluster.vm_count(); ++index)
+        {
+            const std::string address =
+                "127.0.0.1:" + std::to_string(m_cluster.vm(index).advertised_port);
+            routes += ",\"" + address + "\",\"udp:" + address + "\"";
+        }
+        ASSERT_EQ(
+            m_cluster
+                .control_proxy("{\"routes\":[" + routes + "],\"set\":{\"mode\":\"" + mode + "\"}}")
+                .status,
+            200);
+    }
+
+    std::string member_states(std::size_t vm_index)
+    {
+        std::string output;
+        EXPECT_EQ(m_cluster.run_operator(vm_index, "show members", &output), 0) << output;
+        return output;
+    }
+
+    bool all_are_alive(std::size_t vm_index)
+    {
+        const std::string states = member_states(vm_index);
+        std::size_t count = 0;
+        for (std::size_t at = states.find("alive"); at != std::string::npos;
+             at = states.find("alive", at + 1))
+            ++count;
+        return count == m_cluster.vm_count();
+    }
+
+    bool all_see_all_alive()
+    {
+        for (std::size_t index = 0; index < m_cluster.vm_count(); ++index)
+            if (!all_are_alive(index))
+                return false;
+        return true;
+    }
+
+    test_cluster m_cluster;
+};
+
+// Guards against a cut-off data centre that stops serving, claims what it cannot know, or never
+// comes back.
+TEST_F(partition_test, cut_off_data_centre_serves_and_converges_after_healing)
+{
+    ASSERT_TRUE(wait_until(in_force_limit, [&] { return all_see_all_alive(); }));
+    set_paths("cut");
+    // Long enough for the others to be declared failed on both sides.
+    ASSERT_TRUE(wait_until(in_force_limit,
+                           [&]
+                           {
+                               return member_states(lonely_vm).find("failed") !=
+                                          std::string::npos &&
+                                      member_states(0).find("failed") != std::string::npos;
+                           }));
+
+    const test_reply answer = m_cluster.query(lonely_vm, "family-portal", "x");
+    EXPECT_EQ(answer.header("X-Coverage"), "2/2") << answer.body;
+    const std::string key = make_key("cutoff");
+    const test_reply refused = m_cluster.command(lonely_vm, "chapel-booking", key, "x");
+    EXPECT_EQ(refused.json()["outcome"].asString(), "not_run") << refused.body;
+    EXPECT_EQ(m_cluster.executions(key), 0);
+
+    EXPECT_EQ(m_cluster.run_operator(0, "alter service family-portal set deadline 700ms"), 0);
+    EXPECT_TRUE(wait_until(in_force_limit,
+                           [&] { return m_cluster.version_in_force(0, "family-portal") == 2; }));
+    EXPECT_EQ(m_cluster.version_in_force(lonely_vm, "family-portal"), 1U);
+
+    set_paths("pass");
+    EXPECT_TRUE(
+        wait_until(in_force_limit,
+                   [&] { return m_cluster.version_in_force(lonely_vm, "family-portal") == 2; }));
+    EXPECT_TRUE(wait_until(in_force_limit, [&] { return all_see_all_alive(); }))
+        << member_states(lonely_vm);
+    // Claims are refused for a moment after the last failed one; the refusal says when to come
+    // back.
+    EXPECT_TRUE(wait_until(in_force_limit,
+                           [&]
+                           {
+                               return m_cluster.command(lonely_vm, "chapel-booking", key, "x")
+                                          .json()["outcome"]
+                                          .asString() == "ran";
+                           }));
+    EXPECT_EQ(m_cluster.executions(key), 1);
+}
+
+} // namespace ospreystair::testing_support
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -59,6 +59,7 @@
              m_plan.data_centres.size() * static_cast<std::size_t>(m_plan.vms_per_data_centre);
              ++index)
             m_vm_platform_ports.push_back(next_port());
+    plan_vms();
     start_upstreams();
     if (m_plan.use_proxy)
         start_proxy();
@@ -73,10 +74,6 @@
             shards.push_back(shard_name(service.name, shard));
         publish_index(service.name, 1, shards);
     }
-    for (const std::string& data_centre : m_plan.data_centres)
-        for (int index = 0; index < m_plan.vms_per_data_centre; ++index)
-            m_vms.push_back({fmt::format("vm-{}", m_vms.size() + 1), data_centre, next_port(),
-                             next_port(), next_port(), nullptr, nullptr});
     for (std::size_t index = 0; index < m_vms.size(); ++index)
     {
         start_agent(index);
@@ -104,6 +101,23 @@
         std::filesystem::remove_all(m_folder);
 }
 
+void test_cluster::plan_vms()
+{
+    for (const std::string& data_centre : m_plan.data_centres)
+        for (int index = 0; index < m_plan.vms_per_data_centre; ++index)
+        {
+            test_vm item;
+            item.name = fmt::format("vm-{}", m_vms.size() + 1);
+            item.data_centre = data_centre;
+            item.caller_port = next_port();
+            item.operator_port = next_port();
+            item.control_port = next_port();
+            item.advertised_port =
+                m_plan.use_proxy && m_plan.has_agent_routes ? next_port() : item.control_port;
+            m_vms.push_back(std::move(item));
+        }
+}
+
 void test_cluster::allocate_ports()
 {
     m_block_socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -190,6 +204,10 @@
         fmt::format("{}={}", local(m_platform_port), local(m_platform_direct_port));
     for (const int port : m_vm_platform_ports)
         routes += fmt::format(";{}={}", local(port), local(m_platform_direct_port));
+    for (const test_vm& item : m_vms)
+        if (item.advertised_port != item.control_port)
+            routes += fmt::format(";{0}={1};udp:{0}={1}", local(item.advertised_port),
+                                  local(item.control_port));
     for (const auto& [name, port] : m_direct_ports)
         routes += fmt::format(";{}={}", local(m_replica_ports.at(name)), local(port));
     m_proxy_control_port = next_port();
@@ -255,13 +273,15 @@
     std::string peers;
     for (const test_vm& other : m_vms)
         if (other.name != item.name)
-            peers += (peers.empty() ? "" : ",") + local(other.control_port);
+            peers += (peers.empty() ? "" : ",") + local(other.advertised_port);
     std::vector<std::string> arguments = {"--vm",
                                           item.name,
                                           "--data-centre",
                                           item.data_centre,
                                           "--control-address",
                                           local(item.control_port),
+                                          "--advertised-address",
+                                          local(item.advertised_port),
                                           "--platform-addresses",
                                           local(platform_port_of(index)),
                                           "--entry-address",
--- a/tests/integration/test_cluster.hpp
+++ b/tests/integration/test_cluster.hpp
@@ -43,6 +43,8 @@
     bool use_proxy = false;
     /// With the proxy: gives each VM its own route to the platform, so that one can be cut off.
     bool has_platform_route_per_vm = false;
+    /// With the proxy: other VMs reach each agent through a route of its own.
+    bool has_agent_routes = false;
     std::string log_level = "info";
     /// Further arguments of the stand-in upstream.
     std::vector<std::string> upstream_arguments = {};
@@ -58,6 +60,8 @@
     int caller_port = 0;
     int operator_port = 0;
     int control_port = 0;
+    /// Where other VMs reach the agent.
+    int advertised_port = 0;
     std::unique_ptr<child_process> agent;
     std::unique_ptr<child_process> entry;
 };
@@ -135,6 +139,7 @@
 
 private:
     void allocate_ports();
+    void plan_vms();
     int next_port();
     void start_platform();
     void start_upstreams();
