Membership: Call gossiped values registers

Ruled out: rumour, which the SWIM literature uses for the spreading alone. No behaviour and no assertion changed.

--- a/programs/agent/agent_settings.cpp
+++ b/programs/agent/agent_settings.cpp
@@ -49,8 +49,9 @@
                                                      base::error& reason)
 {
     const auto table = settings::option_table::create(
-        "ospreystair-agent", "Keeps the configuration, membership and news of one entry VM.",
-        make_options(), argc, argv, reason);
+        "ospreystair-agent",
+        "Keeps the configuration, membership and gossiped state of one entry VM.", make_options(),
+        argc, argv, reason);
     if (!table)
         return std::nullopt;
     agent_settings result;
--- a/programs/agent/agent_state.cpp
+++ b/programs/agent/agent_state.cpp
@@ -113,13 +113,13 @@
 void agent_state::set_draining(std::set<std::string> names)
 {
     const std::scoped_lock lock(m_mutex);
-    m_news_draining = std::move(names);
+    m_gossip_draining = std::move(names);
     update_draining();
 }
 
 void agent_state::update_draining()
 {
-    std::set<std::string> names = m_news_draining;
+    std::set<std::string> names = m_gossip_draining;
     names.insert(m_view.configuration.draining.begin(), m_view.configuration.draining.end());
     if (m_view.draining == names)
         return;
--- a/programs/agent/agent_state.hpp
+++ b/programs/agent/agent_state.hpp
@@ -41,7 +41,7 @@
     /// is not lower than the one held. Returns whether it was adopted.
     bool adopt_index(const std::string& service, std::uint64_t version, const std::string& text,
                      std::string_view source);
-    /// Replaces the upstreams that drain according to the news. The view also names those that
+    /// Replaces the upstreams that drain according to gossip. The view also names those that
     /// operators have drained in the configuration.
     void set_draining(std::set<std::string> names);
     /// Replaces the members. A change of configuration versions alone makes no new revision,
@@ -81,7 +81,7 @@
     // All below are guarded by m_mutex. m_view.configuration_version never decreases, nor does the
     // version or the current index version of any held_index.
     configuration::view m_view;
-    std::set<std::string> m_news_draining;
+    std::set<std::string> m_gossip_draining;
     std::map<std::string, settings::socket_address> m_replicas;
     std::map<std::string, held_index> m_indexes;
     std::map<std::string, std::uint64_t> m_refused;
--- a/programs/agent/drain_news.cpp
+++ b/programs/agent/drain_register.cpp
@@ -1,6 +1,6 @@
 // Text form of drains.
 
-#include "drain_news.hpp"
+#include "drain_register.hpp"
 
 #include <charconv>
 
@@ -17,14 +17,14 @@
 
 } // namespace
 
-std::string drain_news::to_text() const
+std::string drain_register::to_text() const
 {
     return fmt::format("{}{}", is_draining ? draining_word : serving_word, expires.count());
 }
 
-std::optional<drain_news> drain_news::from_text(std::string_view text)
+std::optional<drain_register> drain_register::from_text(std::string_view text)
 {
-    drain_news result;
+    drain_register result;
     if (text.starts_with(draining_word))
     {
         result.is_draining = true;
@@ -43,14 +43,15 @@
     return result;
 }
 
-std::set<std::string> find_draining(const membership::news_table& news,
+std::set<std::string> find_draining(const membership::register_table& registers,
                                     std::chrono::milliseconds now)
 {
     std::set<std::string> result;
-    for (auto position = news.entries().lower_bound(std::string(drain_prefix));
-         position != news.entries().end() && position->first.starts_with(drain_prefix); ++position)
+    for (auto position = registers.entries().lower_bound(std::string(drain_prefix));
+         position != registers.entries().end() && position->first.starts_with(drain_prefix);
+         ++position)
     {
-        const auto value = drain_news::from_text(position->second.value);
+        const auto value = drain_register::from_text(position->second.value);
         if (value && value->is_in_force(now))
             result.insert(position->first.substr(drain_prefix.size()));
     }
--- a/programs/agent/drain_news.hpp
+++ b/programs/agent/drain_register.hpp
@@ -1,7 +1,7 @@
 // The value of the registers `drain/<upstream>`.
 
-#ifndef OSPREYSTAIR_PROGRAMS_AGENT_DRAIN_NEWS_HPP
-#define OSPREYSTAIR_PROGRAMS_AGENT_DRAIN_NEWS_HPP
+#ifndef OSPREYSTAIR_PROGRAMS_AGENT_DRAIN_REGISTER_HPP
+#define OSPREYSTAIR_PROGRAMS_AGENT_DRAIN_REGISTER_HPP
 
 #include <chrono>
 #include <optional>
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "membership/news_table.hpp"
+#include "membership/register_table.hpp"
 
 namespace ospreystair::agent
 {
@@ -18,7 +18,7 @@
 
 /// Whether an upstream is leaving. A drain ends at a time, so that an upstream that comes back is
 /// used again even if nobody says so. An agent extends it while the upstream still drains.
-struct drain_news
+struct drain_register
 {
     /// Wall time since the Unix epoch, so that all VMs agree on it.
     std::chrono::milliseconds expires{0};
@@ -26,13 +26,13 @@
 
     /// Returns `draining <ms>` or `serving <ms>`.
     std::string to_text() const;
-    static std::optional<drain_news> from_text(std::string_view text);
+    static std::optional<drain_register> from_text(std::string_view text);
 
     bool is_in_force(std::chrono::milliseconds now) const { return is_draining && expires > now; }
 };
 
 /// Names of the upstreams that drain at `now`.
-std::set<std::string> find_draining(const membership::news_table& news,
+std::set<std::string> find_draining(const membership::register_table& registers,
                                     std::chrono::milliseconds now);
 
 /// Wall time since the Unix epoch.
--- a/programs/agent/gossip_service.cpp
+++ b/programs/agent/gossip_service.cpp
@@ -130,7 +130,7 @@
             asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, code));
         if (code == asio::error::operation_aborted)
             co_return;
-        // Linux reports here that an earlier datagram found no receiver; that is no news.
+        // Linux reports here that an earlier datagram found no receiver; that needs no action.
         if (!code)
             receive({buffer.data(), count});
     }
@@ -252,13 +252,14 @@
                                record.configuration_version});
         const auto now = wall_time();
         m_machine.forget_registers(
-            [now](const std::string& key, const membership::news_table::entry& held)
+            [now](const std::string& key, const membership::register_table::entry& held)
             {
-                const auto value = key.starts_with(drain_prefix) ? drain_news::from_text(held.value)
-                                                                 : std::nullopt;
+                const auto value = key.starts_with(drain_prefix)
+                                       ? drain_register::from_text(held.value)
+                                       : std::nullopt;
                 return value && value->expires + drain_retention < now;
             });
-        draining = find_draining(m_machine.news(), now);
+        draining = find_draining(m_machine.registers(), now);
     }
     m_live_members.set(std::count_if(members.begin(), members.end(),
                                      [](const auto& item)
@@ -284,8 +285,8 @@
     membership::step produced;
     {
         const std::scoped_lock lock(m_mutex);
-        const auto* const held = m_machine.news().find(key);
-        const auto value = held ? drain_news::from_text(held->value) : std::nullopt;
+        const auto* const held = m_machine.registers().find(key);
+        const auto value = held ? drain_register::from_text(held->value) : std::nullopt;
         const bool is_known = value && (is_draining ? value->is_in_force(now + drain_margin)
                                                     : !value->is_in_force(now));
         if (is_known || (!value && !is_draining))
@@ -293,8 +294,8 @@
         // The time makes the version higher than that of drains which were forgotten meanwhile.
         const std::uint64_t version =
             std::max(held ? held->version + 1 : 0, static_cast<std::uint64_t>(now.count()));
-        produced =
-            m_machine.publish({key, version, drain_news{now + drain_time, is_draining}.to_text()});
+        produced = m_machine.publish(
+            {key, version, drain_register{now + drain_time, is_draining}.to_text()});
     }
     m_events.write(log_level::info, "drain_published", "",
                    {{"upstream", upstream}, {"state", is_draining ? "draining" : "serving"}});
@@ -339,7 +340,7 @@
 {
     const std::scoped_lock lock(m_mutex);
     std::map<std::string, std::uint64_t> result;
-    for (const auto& [key, held] : m_machine.news().entries())
+    for (const auto& [key, held] : m_machine.registers().entries())
         result.emplace(key, held.version);
     return result;
 }
@@ -348,7 +349,7 @@
 gossip_service::newer_registers(const std::map<std::string, std::uint64_t>& known) const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_machine.news().newer_than(known);
+    return m_machine.registers().newer_than(known);
 }
 
 std::string gossip_service::digest() const
@@ -373,14 +374,14 @@
     return std::find(watchers.begin(), watchers.end(), records.front().vm) != watchers.end();
 }
 
-std::map<std::string, drain_news> gossip_service::drains() const
+std::map<std::string, drain_register> gossip_service::drains() const
 {
     const auto now = wall_time();
-    std::map<std::string, drain_news> result;
+    std::map<std::string, drain_register> result;
     const std::scoped_lock lock(m_mutex);
-    for (const std::string& name : find_draining(m_machine.news(), now))
-        result[name] =
-            *drain_news::from_text(m_machine.news().find(std::string(drain_prefix) + name)->value);
+    for (const std::string& name : find_draining(m_machine.registers(), now))
+        result[name] = *drain_register::from_text(
+            m_machine.registers().find(std::string(drain_prefix) + name)->value);
     return result;
 }
 
--- a/programs/agent/gossip_service.hpp
+++ b/programs/agent/gossip_service.hpp
@@ -18,7 +18,7 @@
 #include "agent_state.hpp"
 #include "base/clock.hpp"
 #include "base/random.hpp"
-#include "drain_news.hpp"
+#include "drain_register.hpp"
 #include "http/asio.hpp"
 #include "membership/swim.hpp"
 #include "observe/event_log.hpp"
@@ -62,7 +62,7 @@
     /// Whether this agent watches the platform for its data centre.
     bool is_watcher() const;
     /// The drains that are in force, with their end.
-    std::map<std::string, drain_news> drains() const;
+    std::map<std::string, drain_register> drains() const;
     /// Whether this agent is the one that looks after `task` now; live members agree on it.
     bool is_responsible_for(const std::string& task) const;
 
--- a/programs/agent/main.cpp
+++ b/programs/agent/main.cpp
@@ -1,4 +1,4 @@
-// ospreystair-agent: keeps configuration, membership and news of one entry VM.
+// ospreystair-agent: keeps configuration, membership and gossiped state of one entry VM.
 
 #include <cstdlib>
 
--- a/programs/agent/peer_exchange.cpp
+++ b/programs/agent/peer_exchange.cpp
@@ -112,7 +112,7 @@
                [this, address]
                {
                    {
-                       // News that arrives from here on starts the next fetch.
+                       // What changes from here on starts the next fetch.
                        const std::scoped_lock lock(m_mutex);
                        m_under_way.erase(address);
                    }
--- a/programs/entry/view_holder.cpp
+++ b/programs/entry/view_holder.cpp
@@ -12,7 +12,7 @@
 {
 
 // Drains by operators belong to the configuration: those of the newer one are kept with it, and
-// those of the older one count only while the view in use has them too, for example from the news.
+// those of the older one count only while the view in use has them too, for example from gossip.
 void keep_configuration(const configuration::view& held, configuration::view& candidate)
 {
     for (const std::string& name : candidate.configuration.draining)
@@ -52,8 +52,8 @@
     }
     for (auto& [name, drain] : m_own_drains)
         if (candidate.draining.contains(name))
-            drain.is_in_news = true;
-        else if (drain.is_in_news)
+            drain.is_known_to_agent = true;
+        else if (drain.is_known_to_agent)
             drain.end = now;
     std::erase_if(m_own_drains, [now](const auto& item) { return item.second.end <= now; });
     for (const auto& [name, drain] : m_own_drains)
@@ -82,7 +82,7 @@
     const std::scoped_lock lock(m_mutex);
     std::set<std::string> over;
     for (const auto& [name, drain] : m_own_drains)
-        if (drain.end <= now && !drain.is_in_news)
+        if (drain.end <= now && !drain.is_known_to_agent)
             over.insert(name);
     std::erase_if(m_own_drains, [now](const auto& item) { return item.second.end <= now; });
     if (!m_view || over.empty())
--- a/programs/entry/view_holder.hpp
+++ b/programs/entry/view_holder.hpp
@@ -52,7 +52,7 @@
     {
         base::time_point end;
         // The agent's view has named it since. When a later view does not, the upstream is back.
-        bool is_in_news = false;
+        bool is_known_to_agent = false;
     };
 
     mutable std::mutex m_mutex;
--- a/source/configuration/view.cpp
+++ b/source/configuration/view.cpp
@@ -72,7 +72,7 @@
             result.members.push_back(member_from_json(item));
         for (const Json::Value& name : value["draining"])
             result.draining.insert(name.asString());
-        // An operator's drain holds on every VM that has the configuration, without the news.
+        // An operator's drain holds on every VM that has the configuration, without gossip.
         result.draining.insert(result.configuration.draining.begin(),
                                result.configuration.draining.end());
     }
--- a/source/membership/broadcast_queue.cpp
+++ b/source/membership/broadcast_queue.cpp
@@ -34,7 +34,7 @@
         budget -= queued.bytes;
         ++queued.sent;
         if (queued.record.vm.empty())
-            message.registers.push_back(queued.news);
+            message.registers.push_back(queued.item);
         else
             message.members.push_back(queued.record);
     }
@@ -48,7 +48,7 @@
     const auto position = std::find_if(m_changes.begin(), m_changes.end(),
                                        [&](const queued_change& queued) {
                                            return queued.record.vm == added.record.vm &&
-                                                  queued.news.key == added.news.key;
+                                                  queued.item.key == added.item.key;
                                        });
     if (position == m_changes.end())
         m_changes.push_back(std::move(added));
--- a/source/membership/broadcast_queue.hpp
+++ b/source/membership/broadcast_queue.hpp
@@ -36,7 +36,7 @@
     {
         // The record if its vm is not empty, else the register.
         protocol::member_record record;
-        protocol::register_item news;
+        protocol::register_item item;
         std::size_t bytes = 0;
         std::size_t sent = 0;
         std::size_t limit = 0;
--- a/source/membership/news_table.cpp
+++ b/source/membership/register_table.cpp
@@ -1,11 +1,11 @@
 // Merge rule of versioned registers.
 
-#include "membership/news_table.hpp"
+#include "membership/register_table.hpp"
 
 namespace ospreystair::membership
 {
 
-news_table::merge_result news_table::merge(const protocol::register_item& item)
+register_table::merge_result register_table::merge(const protocol::register_item& item)
 {
     if (item.key.empty() || item.key.size() > max_key_bytes || item.version <= version(item.key))
         return merge_result::ignored;
@@ -18,20 +18,20 @@
     return merge_result::adopted;
 }
 
-std::uint64_t news_table::version(const std::string& key) const
+std::uint64_t register_table::version(const std::string& key) const
 {
     const entry* const held = find(key);
     return held ? held->version : 0;
 }
 
-const news_table::entry* news_table::find(const std::string& key) const
+const register_table::entry* register_table::find(const std::string& key) const
 {
     const auto position = m_entries.find(key);
     return position == m_entries.end() ? nullptr : &position->second;
 }
 
 std::vector<protocol::register_item>
-news_table::newer_than(const std::map<std::string, std::uint64_t>& known) const
+register_table::newer_than(const std::map<std::string, std::uint64_t>& known) const
 {
     std::vector<protocol::register_item> result;
     for (const auto& [key, held] : m_entries)
@@ -43,7 +43,7 @@
     return result;
 }
 
-std::size_t news_table::erase_if(
+std::size_t register_table::erase_if(
     const std::function<bool(const std::string& key, const entry& value)>& is_obsolete)
 {
     return std::erase_if(m_entries,
--- a/source/membership/news_table.hpp
+++ b/source/membership/register_table.hpp
@@ -1,7 +1,7 @@
 // Versioned registers that agents spread among each other.
 
-#ifndef OSPREYSTAIR_MEMBERSHIP_NEWS_TABLE_HPP
-#define OSPREYSTAIR_MEMBERSHIP_NEWS_TABLE_HPP
+#ifndef OSPREYSTAIR_MEMBERSHIP_REGISTER_TABLE_HPP
+#define OSPREYSTAIR_MEMBERSHIP_REGISTER_TABLE_HPP
 
 #include <cstddef>
 #include <cstdint>
@@ -17,7 +17,7 @@
 {
 
 /// Registers by key. The higher version wins; a version never goes down. Not thread-safe.
-class news_table
+class register_table
 {
 public:
     /// Bounds the memory that peers can make this process use. Far above the about 3,200 registers
--- a/source/membership/swim.hpp
+++ b/source/membership/swim.hpp
@@ -1,4 +1,4 @@
-// SWIM membership (Das, Gupta, Motivala 2002) with suspicion, and the spreading of news. Pure
+// SWIM membership (Das, Gupta, Motivala 2002) with suspicion, and the spreading of registers. Pure
 // decision code: it takes messages and ticks and returns what to send.
 
 #ifndef OSPREYSTAIR_MEMBERSHIP_SWIM_HPP
@@ -19,7 +19,7 @@
 #include "base/clock.hpp"
 #include "base/random.hpp"
 #include "membership/broadcast_queue.hpp"
-#include "membership/news_table.hpp"
+#include "membership/register_table.hpp"
 #include "protocol/datagram.hpp"
 #include "protocol/datagram_codec.hpp"
 
@@ -212,11 +212,11 @@
     template<class Predicate>
     std::size_t forget_registers(Predicate is_obsolete)
     {
-        return m_news.erase_if(is_obsolete);
+        return m_registers.erase_if(is_obsolete);
     }
 
     const protocol::member_record& self() const { return m_self; }
-    const news_table& news() const { return m_news; }
+    const register_table& registers() const { return m_registers; }
 
     /// All known members, this one first.
     std::vector<protocol::member_record> members() const
@@ -352,7 +352,7 @@
             std::advance(position, static_cast<std::ptrdiff_t>(m_random.below(m_members.size())));
             budget = append(message.members, position->second.record, budget);
         }
-        const auto& entries = m_news.entries();
+        const auto& entries = m_registers.entries();
         if (entries.empty())
             return;
         auto position = entries.begin();
@@ -602,21 +602,21 @@
     void merge_register(const protocol::register_item& item, const std::string& holder,
                         step& result)
     {
-        switch (m_news.merge(item))
+        switch (m_registers.merge(item))
         {
-        case news_table::merge_result::adopted:
+        case register_table::merge_result::adopted:
             m_queue.add(item, retransmission_limit());
             result.adopted_registers.push_back(item);
             break;
-        case news_table::merge_result::wanted:
+        case register_table::merge_result::wanted:
             result.wanted_registers.push_back({item.key, item.version, holder});
             break;
-        case news_table::merge_result::ignored:
+        case register_table::merge_result::ignored:
             break;
         }
     }
 
-    // News must pass the data centre sooner than the next probes would carry it.
+    // A change must pass the data centre sooner than the next probes would carry it.
     void push_adopted(step& result)
     {
         if (result.adopted_registers.empty())
@@ -627,7 +627,7 @@
         {
             outgoing pushed = make_message(protocol::datagram_kind::push, vm,
                                            m_members.at(vm).record.address, next_sequence());
-            // The news takes the place of what make_message() added.
+            // The change takes the place of what make_message() added.
             pushed.message.members.clear();
             pushed.message.registers.clear();
             std::size_t budget = free_bytes(pushed.message);
@@ -643,7 +643,7 @@
     protocol::member_record m_self;
     // Without this member. At most max_members.
     std::map<std::string, held_member> m_members;
-    news_table m_news;
+    register_table m_registers;
     broadcast_queue m_queue;
     std::set<std::string> m_seeds;
     // Members that are still to be probed in this round, the next one last.
--- a/source/protocol/datagram.hpp
+++ b/source/protocol/datagram.hpp
@@ -73,7 +73,7 @@
     ping,         ///< Asks for an ack.
     ack,          ///< Answers a ping; `sequence` is the ping's.
     ping_request, ///< Asks the receiver to ping `target` and to pass on its ack.
-    push          ///< Carries news only; not answered.
+    push          ///< Carries registers only; not answered.
 };
 
 struct datagram
--- a/source/routing/connection_share.hpp
+++ b/source/routing/connection_share.hpp
@@ -29,7 +29,7 @@
 class connection_share
 {
 public:
-    /// The default delay is above the 3 s of suspicion plus the spread of the news.
+    /// The default delay is above the 3 s of suspicion plus the time that gossip takes.
     connection_share(const Clock& clock, std::string vm,
                      base::duration grow_delay = std::chrono::seconds{10})
         : m_clock(clock), m_vm(std::move(vm)), m_grow_delay(grow_delay), m_started_at(clock.now())
--- a/source/routing/replica_tracker.hpp
+++ b/source/routing/replica_tracker.hpp
@@ -132,7 +132,7 @@
     }
 
     /// Notes that the replica said in a reply that it is leaving. It receives no work until the
-    /// news of its drain has come and gone, or `clear_draining` is called.
+    /// gossip about its drain has come and gone, or `clear_draining` is called.
     void mark_draining(const std::string& name)
     {
         change(name, [](state& replica) { return replica.observed_draining = true; });
@@ -184,8 +184,8 @@
         base::duration ejection_time{0};
         base::time_point returned_at{};
         std::optional<base::time_point> warm_up_since;
-        // Set by the news and by the replica itself; either one stops new work.
-        bool news_draining = false;
+        // Set by the view and by the replica itself; either one stops new work.
+        bool view_draining = false;
         bool observed_draining = false;
         std::optional<base::time_point> shed_at;
         load_report report;
@@ -204,14 +204,14 @@
         change(replica.name,
                [&](state& known)
                {
-                   const bool is_back = known.news_draining && !draining;
+                   const bool is_back = known.view_draining && !draining;
                    if (is_back)
                        known.observed_draining = false;
                    if (m_has_configuration && (is_back || !known.configured))
                        known.warm_up_since = m_clock.now();
                    known.configured = true;
                    known.slots = std::max<std::uint32_t>(1, replica.slots);
-                   known.news_draining = draining;
+                   known.view_draining = draining;
                    return true;
                });
     }
@@ -361,7 +361,7 @@
         result.failures = replica.failures;
         if (replica.latency_at)
             result.latency = current_latency(replica, now);
-        result.draining = replica.news_draining || replica.observed_draining;
+        result.draining = replica.view_draining || replica.observed_draining;
         result.probe_due = is_probe_due(replica, now);
         result.ejected = replica.ejected && !result.probe_due;
         result.ejected_until = replica.ejected_until;
--- a/tests/integration/configuration_test.cpp
+++ b/tests/integration/configuration_test.cpp
@@ -154,7 +154,7 @@
     sleep_for(std::chrono::seconds{2});
     EXPECT_EQ(m_cluster.version_in_force(0, "family-portal"), 1U);
     EXPECT_EQ(m_cluster.query(0, "family-portal", "x").header("X-Coverage"), "2/2");
-    stored["token"] = "mended";
+    stored["token"] = "repaired";
     ASSERT_EQ(m_cluster.put_object("configuration", stored, "2").status, 200);
     EXPECT_TRUE(wait_until_in_force_everywhere(3));
 }
--- a/tests/integration/drain_test.cpp
+++ b/tests/integration/drain_test.cpp
@@ -1,4 +1,4 @@
-// Upstreams that leave: news of it reaches every VM within 3 s and without the platform.
+// Upstreams that leave: the drain becomes known to every VM within 3 s and without the platform.
 
 #include <future>
 
@@ -33,7 +33,7 @@
                      .vms_per_data_centre = 2}),
           m_leaving(test_cluster::replica_name(service, 0, 0))
     {
-        // Until the agents know each other, no news can spread.
+        // Until the agents know each other, nothing can spread.
         EXPECT_TRUE(wait_until(settle_limit, [&] { return all_agents_see_all_members(); }));
     }
 
@@ -169,7 +169,7 @@
 {
     set_leaving(R"("draining":true)", true);
     show_drain_to_first_vm();
-    // The news has to reach the other VMs before the upstream is back.
+    // The drain has to reach the other VMs before the upstream is back.
     sleep_for(2s);
     set_leaving(R"("draining":false)", true);
     for (std::size_t vm = 0; vm < m_cluster.vm_count(); ++vm)
--- a/tests/integration/partition_test.cpp
+++ b/tests/integration/partition_test.cpp
@@ -12,7 +12,7 @@
 protected:
     // The promised time for a change to be in force everywhere, counted from the healing.
     static constexpr std::chrono::seconds in_force_limit{18};
-    static constexpr std::size_t lonely_vm = 2;
+    static constexpr std::size_t isolated_vm = 2;
 
     partition_test()
         : m_cluster({.services = {{.name = "family-portal", .shards = 2},
@@ -28,7 +28,7 @@
     void set_paths(const std::string& mode)
     {
         std::string routes =
-            "\"127.0.0.1:" + std::to_string(m_cluster.platform_port_of(lonely_vm)) + "\"";
+            "\"127.0.0.1:" + std::to_string(m_cluster.platform_port_of(isolated_vm)) + "\"";
         for (std::size_t index = 0; index < m_cluster.vm_count(); ++index)
         {
             const std::string address =
@@ -80,35 +80,35 @@
     ASSERT_TRUE(wait_until(in_force_limit,
                            [&]
                            {
-                               return member_states(lonely_vm).find("failed") !=
+                               return member_states(isolated_vm).find("failed") !=
                                           std::string::npos &&
                                       member_states(0).find("failed") != std::string::npos;
                            }));
 
-    const test_reply answer = m_cluster.query(lonely_vm, "family-portal", "x");
+    const test_reply answer = m_cluster.query(isolated_vm, "family-portal", "x");
     EXPECT_EQ(answer.header("X-Coverage"), "2/2") << answer.body;
     const std::string key = make_key("cutoff");
-    const test_reply refused = m_cluster.command(lonely_vm, "chapel-booking", key, "x");
+    const test_reply refused = m_cluster.command(isolated_vm, "chapel-booking", key, "x");
     EXPECT_EQ(refused.json()["outcome"].asString(), "not_run") << refused.body;
     EXPECT_EQ(m_cluster.executions(key), 0);
 
     EXPECT_EQ(m_cluster.run_operator(0, "alter service family-portal set deadline 700ms"), 0);
     EXPECT_TRUE(wait_until(in_force_limit,
                            [&] { return m_cluster.version_in_force(0, "family-portal") == 2; }));
-    EXPECT_EQ(m_cluster.version_in_force(lonely_vm, "family-portal"), 1U);
+    EXPECT_EQ(m_cluster.version_in_force(isolated_vm, "family-portal"), 1U);
 
     set_paths("pass");
     EXPECT_TRUE(
         wait_until(in_force_limit,
-                   [&] { return m_cluster.version_in_force(lonely_vm, "family-portal") == 2; }));
+                   [&] { return m_cluster.version_in_force(isolated_vm, "family-portal") == 2; }));
     EXPECT_TRUE(wait_until(in_force_limit, [&] { return all_see_all_alive(); }))
-        << member_states(lonely_vm);
+        << member_states(isolated_vm);
     // Claims are refused for a moment after the last failed one; the refusal says when to come
     // back.
     EXPECT_TRUE(wait_until(in_force_limit,
                            [&]
                            {
-                               return m_cluster.command(lonely_vm, "chapel-booking", key, "x")
+                               return m_cluster.command(isolated_vm, "chapel-booking", key, "x")
                                           .json()["outcome"]
                                           .asString() == "ran";
                            }));
--- a/tests/unit/membership_swim_test.cpp
+++ b/tests/unit/membership_swim_test.cpp
@@ -133,7 +133,7 @@
     // Versions must never go down.
     static void check_versions(node& item)
     {
-        for (const auto& [key, held] : item.state->news().entries())
+        for (const auto& [key, held] : item.state->registers().entries())
         {
             EXPECT_GE(held.version, item.seen[key]);
             item.seen[key] = held.version;
@@ -158,7 +158,7 @@
     {
         std::size_t count = 0;
         for (const auto& [index, item] : m_nodes)
-            if (item.is_running && item.state->news().version(key) == version)
+            if (item.is_running && item.state->registers().version(key) == version)
                 ++count;
         return count;
     }
@@ -212,7 +212,7 @@
 }
 
 // Guards against a drain that spreads slower than the 2 s of the design page.
-TEST_F(swim_test, news_reach_everyone_within_two_seconds)
+TEST_F(swim_test, registers_reach_everyone_within_two_seconds)
 {
     start_all(9);
     run(15s);
@@ -249,8 +249,8 @@
             EXPECT_EQ(state_at(observer, name(other)), member_state::alive);
 }
 
-// Guards against fragmented or refused datagrams while much news is queued.
-TEST_F(swim_test, datagrams_stay_within_the_limit_under_a_burst_of_news)
+// Guards against fragmented or refused datagrams while many registers are queued.
+TEST_F(swim_test, datagrams_stay_within_the_limit_under_a_burst_of_registers)
 {
     start_all(6);
     run(10s);
@@ -263,9 +263,9 @@
                   6U);
 }
 
-// Guards against members that stay failed, news that get lost and versions that go down, whatever
-// the network and the processes do before.
-RC_GTEST_FIXTURE_PROP(swim_test, members_and_news_converge_after_faults, ())
+// Guards against members that stay failed, registers that get lost and versions that go down,
+// whatever the network and the processes do before.
+RC_GTEST_FIXTURE_PROP(swim_test, members_and_registers_converge_after_faults, ())
 {
     constexpr std::size_t count = 5;
     m_random = base::seeded_random(*rc::gen::arbitrary<std::uint64_t>());
@@ -309,7 +309,7 @@
     for (const auto& [key, version] : published)
     {
         // A restart may have lost a version before anybody else had it.
-        const std::uint64_t newest = m_nodes[0].state->news().version(key);
+        const std::uint64_t newest = m_nodes[0].state->registers().version(key);
         RC_ASSERT(newest <= version);
         RC_ASSERT(holders(key, newest) == count);
     }
--- a/tests/unit/routing_replica_test.cpp
+++ b/tests/unit/routing_replica_test.cpp
@@ -69,7 +69,7 @@
 };
 
 // Guards against a leaving replica that still receives work, also as a last resort.
-TEST_F(replica_test, draining_replica_is_never_chosen_until_the_news_ends)
+TEST_F(replica_test, draining_replica_is_never_chosen_until_the_view_ends_it)
 {
     adopt({"r0"});
     EXPECT_EQ(count_chosen("r0"), 0);
@@ -80,7 +80,7 @@
     EXPECT_EQ(choose({"r1"}), "r0");
 }
 
-// Guards against waiting for the news when the replica itself said that it is leaving.
+// Guards against waiting for gossip when the replica itself said that it is leaving.
 TEST_F(replica_test, replica_that_reports_its_drain_in_a_reply_is_not_chosen_again)
 {
     request("r0", error_kind::draining);
--- a/tests/unit/viewholder_test.cpp
+++ b/tests/unit/viewholder_test.cpp
@@ -11,11 +11,11 @@
 {
 protected:
     static configuration::view make_view(std::uint64_t version, std::set<std::string> by_operator,
-                                         std::set<std::string> by_news = {})
+                                         std::set<std::string> by_gossip = {})
     {
         configuration::view result;
         result.configuration_version = version;
-        result.draining = by_news;
+        result.draining = by_gossip;
         result.draining.insert(by_operator.begin(), by_operator.end());
         result.configuration.draining = std::move(by_operator);
         return result;
@@ -45,7 +45,7 @@
 
 // Guards against an upstream that announced its own drain and gets work because the older
 // configuration names it too.
-TEST_F(view_holder_test, drain_in_the_news_is_kept_beside_older_configuration)
+TEST_F(view_holder_test, drain_from_gossip_is_kept_beside_older_configuration)
 {
     m_holder.adopt(make_view(5, {}, {"s0-a"}), m_now);
     const auto held = m_holder.adopt(make_view(4, {"s0-a"}, {"s0-a"}), m_now);
