Entry: Keep the first attempts of a restarted query in its record

Cause: the record of a query that started again on a newer index version held the attempts of the second scatter only, so that an explanation did not show why it started again; found in the read-through. Ruled out: a second record, which would count the request twice. Change: attempts of both scatters are kept in order. Conclusion: explain request shows the lost version.

--- a/programs/entry/query_service.cpp
+++ b/programs/entry/query_service.cpp
@@ -70,6 +70,8 @@
         if (auto newer = co_await find_newer_snapshot(run->snapshot(), give_up))
         {
             ++record.restart_count;
+            // The attempts of the first scatter explain the restart.
+            record.attempts = run->attempts();
             m_restart_count.add();
             task.snapshot = std::move(*newer);
             run = co_await run_once(task, *decisions, exchange);
@@ -158,7 +160,8 @@
                 missing.data_centres.insert(item.data_centre);
         record.missing.push_back(std::move(missing));
     }
-    record.attempts = run.attempts();
+    const std::vector<query::attempt_record> attempts = run.attempts();
+    record.attempts.insert(record.attempts.end(), attempts.begin(), attempts.end());
     m_context.log.write(observe::log_level::debug, "query_answered", record.request_id,
                         {{"service", record.service},
                          {"index_version", record.index_version},
--- a/tests/integration/snapshot_test.cpp
+++ b/tests/integration/snapshot_test.cpp
@@ -125,6 +125,37 @@
               0);
 }
 
+// Guards against an explanation of a restarted query that lacks the attempts that made it start
+// again.
+TEST_F(snapshot_test, record_of_restarted_query_holds_attempts_of_both_versions)
+{
+    load_version(2, 0, shard_count);
+    query_stream stream(m_cluster, m_audit, {.service = "portal", .deadline_ms = 8000});
+    EXPECT_TRUE(wait_until(change_limit, [&] { return stream.sent_count() > 10; }));
+    drop_everywhere(1);
+    publish(2, 0, shard_count);
+    EXPECT_TRUE(wait_for_version(0, 2));
+    EXPECT_TRUE(wait_for_version(1, 2));
+    stream.stop();
+    std::size_t restarted_count = 0;
+    for (std::size_t vm = 0; vm < m_cluster.vm_count(); ++vm)
+    {
+        const Json::Value records =
+            send_request(m_cluster.vm(vm).operator_port, get("/requests")).json()["requests"];
+        for (const Json::Value& record : records)
+        {
+            if (record["restarts"].asInt() == 0)
+                continue;
+            ++restarted_count;
+            std::size_t lost_count = 0;
+            for (const Json::Value& attempt : record["sub_requests"])
+                lost_count += attempt["result"] == "version_not_held" ? 1 : 0;
+            EXPECT_GT(lost_count, 0U) << record;
+        }
+    }
+    EXPECT_GT(restarted_count, 0U);
+}
+
 // Guards against missing shards while another replica still holds the pinned version.
 TEST_F(snapshot_test, version_dropped_at_one_replica_of_each_shard_gives_whole_answers)
 {
