Tests: Share the scenario of the two restart tests

Cause: both tests repeated the same eight lines. Change: one function of the fixture. Conclusion: no assertion changed.

--- a/tests/integration/snapshot_test.cpp
+++ b/tests/integration/snapshot_test.cpp
@@ -85,6 +85,19 @@
         std::cout << "answers: " << m_audit.text() << "\n";
     }
 
+    // Queries run on, and those that pinned version 1 have to start again on version 2.
+    void query_while_version_is_dropped_before_successor_is_known()
+    {
+        load_version(2, 0, shard_count);
+        query_stream stream(m_cluster, m_audit, {.service = "portal", .deadline_ms = 8000});
+        EXPECT_TRUE(wait_until(change_limit, [&] { return stream.sent_count() > 10; }));
+        drop_everywhere(1);
+        publish(2, 0, shard_count);
+        EXPECT_TRUE(wait_for_version(0, 2));
+        EXPECT_TRUE(wait_for_version(1, 2));
+        stream.stop();
+    }
+
     test_cluster m_cluster;
     answer_audit m_audit;
 };
@@ -111,14 +124,7 @@
 // one: the query runs again on its successor.
 TEST_F(snapshot_test, version_dropped_before_vms_know_successor_gives_whole_answers)
 {
-    load_version(2, 0, shard_count);
-    query_stream stream(m_cluster, m_audit, {.service = "portal", .deadline_ms = 8000});
-    EXPECT_TRUE(wait_until(change_limit, [&] { return stream.sent_count() > 10; }));
-    drop_everywhere(1);
-    publish(2, 0, shard_count);
-    EXPECT_TRUE(wait_for_version(0, 2));
-    EXPECT_TRUE(wait_for_version(1, 2));
-    stream.stop();
+    query_while_version_is_dropped_before_successor_is_known();
     expect_only_whole();
     EXPECT_GT(m_cluster.entry_metric(0, "ospreystair_queries_restarted_total") +
                   m_cluster.entry_metric(1, "ospreystair_queries_restarted_total"),
@@ -129,14 +135,7 @@
 // again.
 TEST_F(snapshot_test, record_of_restarted_query_holds_attempts_of_both_versions)
 {
-    load_version(2, 0, shard_count);
-    query_stream stream(m_cluster, m_audit, {.service = "portal", .deadline_ms = 8000});
-    EXPECT_TRUE(wait_until(change_limit, [&] { return stream.sent_count() > 10; }));
-    drop_everywhere(1);
-    publish(2, 0, shard_count);
-    EXPECT_TRUE(wait_for_version(0, 2));
-    EXPECT_TRUE(wait_for_version(1, 2));
-    stream.stop();
+    query_while_version_is_dropped_before_successor_is_known();
     std::size_t restarted_count = 0;
     for (std::size_t vm = 0; vm < m_cluster.vm_count(); ++vm)
     {
