Platform: Read lists in an ordinary function, and log levels in one place

Cause: the read-through found two coroutines with the same list reader, which also made braced aggregates in a coroutine against the rule of the code base, and three copies of the log level reader. Ruled out: constructors for the two list types; an ordinary function serves both lists and needs none. Change: read_items() in http_object_store.cpp and observe::parse_log_level(). Conclusion: no behaviour, bound or check changed.

--- a/programs/agent/agent_settings.cpp
+++ b/programs/agent/agent_settings.cpp
@@ -32,17 +32,6 @@
     };
 }
 
-std::optional<observe::log_level> parse_level(const std::string& text, base::error& reason)
-{
-    for (const auto level : {observe::log_level::debug, observe::log_level::info,
-                             observe::log_level::warning, observe::log_level::error})
-        if (observe::to_string(level) == text)
-            return level;
-    return base::fail(
-        reason, base::error_kind::invalid_settings,
-        fmt::format("--log-level is \"{}\"; give debug, info, warning or error", text));
-}
-
 } // namespace
 
 std::optional<agent_settings> agent_settings::create(int argc, const char** argv,
@@ -70,7 +59,7 @@
     const auto platform = table->addresses("platform-addresses", reason);
     const auto peers = table->addresses("peer-addresses", reason);
     const auto entry = table->address("entry-address", reason);
-    const auto threshold = parse_level(table->text("log-level"), reason);
+    const auto threshold = observe::parse_log_level(table->text("log-level"), reason);
     if (!control || !platform || !peers || !entry || !threshold)
         return std::nullopt;
     if (platform->empty())
--- a/programs/entry/entry_settings.cpp
+++ b/programs/entry/entry_settings.cpp
@@ -32,17 +32,6 @@
     {"check", "check the settings and exit", std::nullopt, true},
 };
 
-std::optional<observe::log_level> parse_level(const std::string& text, base::error& reason)
-{
-    for (const auto level : {observe::log_level::debug, observe::log_level::info,
-                             observe::log_level::warning, observe::log_level::error})
-        if (text == observe::to_string(level))
-            return level;
-    return base::fail(
-        reason, base::error_kind::invalid_settings,
-        fmt::format("--log-level is \"{}\"; give debug, info, warning or error", text));
-}
-
 bool read_identity(const settings::option_table& table, entry_settings& result, base::error& reason)
 {
     result.identity = {table.text("vm"), table.text("data-centre"),
@@ -79,7 +68,7 @@
     const auto drain = table.milliseconds("drain-delay", milliseconds{0}, max_wait, reason);
     const auto stop = table.milliseconds("stop-timeout", milliseconds{1}, max_wait, reason);
     const auto interval = table.milliseconds("view-interval", milliseconds{10}, max_wait, reason);
-    const auto level = parse_level(table.text("log-level"), reason);
+    const auto level = observe::parse_log_level(table.text("log-level"), reason);
     if (!threads || !drain || !stop || !interval || !level)
         return false;
     result.thread_count = *threads;
--- a/programs/entry/operator_service.cpp
+++ b/programs/entry/operator_service.cpp
@@ -142,13 +142,12 @@
 
 http::response operator_service::change_log_level(const std::string& text)
 {
-    for (const auto level : {observe::log_level::debug, observe::log_level::info,
-                             observe::log_level::warning, observe::log_level::error})
-        if (text == observe::to_string(level))
-        {
-            m_context.log.set_threshold(level);
-            return http::make_text_response(http::status::ok, "log level changed\n");
-        }
+    base::error ignored;
+    if (const auto level = observe::parse_log_level(text, ignored))
+    {
+        m_context.log.set_threshold(*level);
+        return http::make_text_response(http::status::ok, "log level changed\n");
+    }
     return http::make_text_response(http::status::bad_request,
                                     "send debug, info, warning or error as the body\n");
 }
--- a/source/observe/event_log.cpp
+++ b/source/observe/event_log.cpp
@@ -55,6 +55,17 @@
     return "error";
 }
 
+std::optional<log_level> parse_log_level(std::string_view text, base::error& reason)
+{
+    for (const auto level :
+         {log_level::debug, log_level::info, log_level::warning, log_level::error})
+        if (text == to_string(level))
+            return level;
+    return base::fail(
+        reason, base::error_kind::invalid_settings,
+        fmt::format("--log-level is \"{}\"; give debug, info, warning or error", text));
+}
+
 event_log::event_log(std::string process, base::process_identity identity, log_level threshold)
     : m_process(std::move(process)), m_identity(std::move(identity)), m_threshold(threshold)
 {
--- a/source/observe/event_log.hpp
+++ b/source/observe/event_log.hpp
@@ -9,12 +9,14 @@
 #include <deque>
 #include <initializer_list>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include <fmt/format.h>
 
+#include "base/error.hpp"
 #include "base/identifier.hpp"
 #include "observe/hybrid_clock.hpp"
 
@@ -30,6 +32,8 @@
 };
 
 std::string_view to_string(log_level level);
+/// Reads a level as the setting --log-level has it; fails with invalid_settings.
+std::optional<log_level> parse_log_level(std::string_view text, base::error& reason);
 
 /// One key=value pair of an event.
 struct field
--- a/source/platform/http_object_store.cpp
+++ b/source/platform/http_object_store.cpp
@@ -123,6 +123,45 @@
     return item.isObject() && item[name].isString() ? item[name].asString() : std::string();
 }
 
+std::optional<listed_object> read_listed_object(const Json::Value& item)
+{
+    std::string key = text_member(item, "key");
+    if (key.empty() || !item["version"].isUInt64())
+        return std::nullopt;
+    return listed_object{std::move(key), item["version"].asUInt64()};
+}
+
+std::optional<vm_entry> read_vm_entry(const Json::Value& item)
+{
+    vm_entry entry{text_member(item, "vm"), text_member(item, "data_centre"),
+                   text_member(item, "address"), text_member(item, "state") == "leaving"};
+    if (entry.vm.empty())
+        return std::nullopt;
+    return entry;
+}
+
+// Reads the array `member` of a reply. Not a coroutine, so that items may be braced aggregates.
+template<class Item>
+std::optional<std::vector<Item>> read_items(const http::response& reply, const char* member,
+                                            std::optional<Item> (*read_item)(const Json::Value&),
+                                            base::error& reason)
+{
+    if (reply.result() != http::status::ok)
+        return fail_with(reply, reason);
+    const auto items = parse_array(reply.body(), member, reason);
+    if (!items)
+        return std::nullopt;
+    std::vector<Item> result;
+    for (const Json::Value& item : *items)
+    {
+        auto value = read_item(item);
+        if (!value)
+            return fail_malformed(reason);
+        result.push_back(std::move(*value));
+    }
+    return result;
+}
+
 } // namespace
 
 http_object_store::http_object_store(http::asio::io_context& context,
@@ -221,20 +260,7 @@
     auto reply = co_await call(std::move(message), deadline, progress, reason);
     if (!reply)
         co_return std::nullopt;
-    if (reply->result() != http::status::ok)
-        co_return fail_with(*reply, reason);
-    const auto items = parse_array(reply->body(), "objects", reason);
-    if (!items)
-        co_return std::nullopt;
-    std::vector<listed_object> result;
-    for (const Json::Value& item : *items)
-    {
-        const std::string key = text_member(item, "key");
-        if (key.empty() || !item["version"].isUInt64())
-            co_return fail_malformed(reason);
-        result.push_back({key, item["version"].asUInt64()});
-    }
-    co_return result;
+    co_return read_items(*reply, "objects", read_listed_object, reason);
 }
 
 http::awaitable<std::optional<std::vector<vm_entry>>>
@@ -245,21 +271,7 @@
     auto reply = co_await call(std::move(message), deadline, progress, reason);
     if (!reply)
         co_return std::nullopt;
-    if (reply->result() != http::status::ok)
-        co_return fail_with(*reply, reason);
-    const auto items = parse_array(reply->body(), "vms", reason);
-    if (!items)
-        co_return std::nullopt;
-    std::vector<vm_entry> result;
-    for (const Json::Value& item : *items)
-    {
-        vm_entry entry{text_member(item, "vm"), text_member(item, "data_centre"),
-                       text_member(item, "address"), text_member(item, "state") == "leaving"};
-        if (entry.vm.empty())
-            co_return fail_malformed(reason);
-        result.push_back(std::move(entry));
-    }
-    co_return result;
+    co_return read_items(*reply, "vms", read_vm_entry, reason);
 }
 
 http::awaitable<std::optional<http::response>>
