Objects: Rename the package of the object client

The users' platform adapter is to live in platform/ at the root. The package source/platform held only the client of the object service, so that two places would have shared one name. It is source/objects now, namespace objects; nothing else changes.

--- a/bench/claim_grouping.cpp
+++ b/bench/claim_grouping.cpp
@@ -13,7 +13,7 @@
 
 using namespace ospreystair;
 using namespace std::chrono_literals;
-using platform::write_status;
+using objects::write_status;
 
 constexpr std::chrono::milliseconds call_time{5};
 constexpr std::chrono::seconds run_time{3};
@@ -23,8 +23,8 @@
 class slow_store
 {
 public:
-    http::awaitable<std::optional<platform::stored_object>> read(std::string key, base::time_point,
-                                                                 base::error& reason)
+    http::awaitable<std::optional<objects::stored_object>> read(std::string key, base::time_point,
+                                                                base::error& reason)
     {
         co_await dispatch::pause(call_time);
         const auto position = m_objects.find(key);
@@ -37,7 +37,7 @@
                                         base::time_point, std::uint64_t& new_version, base::error&)
     {
         co_await dispatch::pause(call_time);
-        platform::stored_object& object = m_objects[key];
+        objects::stored_object& object = m_objects[key];
         if (object.version != expected)
             co_return write_status::conflict;
         object = {std::move(value), expected + 1};
@@ -50,26 +50,26 @@
         co_return write_status::refused;
     }
 
-    http::awaitable<std::optional<platform::watch_result>>
+    http::awaitable<std::optional<objects::watch_result>>
     watch(std::string, std::uint64_t, std::chrono::milliseconds, base::error&)
     {
         co_return std::nullopt;
     }
 
-    http::awaitable<std::optional<std::vector<platform::listed_object>>>
+    http::awaitable<std::optional<std::vector<objects::listed_object>>>
     list(std::string, base::time_point, base::error&)
     {
         co_return std::nullopt;
     }
 
-    http::awaitable<std::optional<std::vector<platform::vm_entry>>> list_vms(base::time_point,
-                                                                             base::error&)
+    http::awaitable<std::optional<std::vector<objects::vm_entry>>> list_vms(base::time_point,
+                                                                            base::error&)
     {
         co_return std::nullopt;
     }
 
 private:
-    std::map<std::string, platform::stored_object> m_objects;
+    std::map<std::string, objects::stored_object> m_objects;
 };
 
 using ledger =
--- a/programs/agent/agent_process.cpp
+++ b/programs/agent/agent_process.cpp
@@ -46,7 +46,7 @@
 bool agent_process::open(base::error& reason)
 {
     auto store =
-        platform::http_object_store::create(m_context, m_settings.platform_addresses, reason);
+        objects::http_object_store::create(m_context, m_settings.platform_addresses, reason);
     if (!store)
         return false;
     m_store = std::move(*store);
--- a/programs/agent/agent_process.hpp
+++ b/programs/agent/agent_process.hpp
@@ -49,7 +49,7 @@
     http::asio::signal_set m_signals;
     bool m_is_stopping = false;
     // Set by open(), never null afterwards.
-    std::unique_ptr<platform::http_object_store> m_store;
+    std::unique_ptr<objects::http_object_store> m_store;
     std::unique_ptr<gossip_service> m_gossip;
     std::unique_ptr<peer_exchange> m_peers;
     std::unique_ptr<platform_follower> m_follower;
--- a/programs/agent/command_service.cpp
+++ b/programs/agent/command_service.cpp
@@ -33,9 +33,8 @@
 
 } // namespace
 
-command_service::command_service(http::asio::io_context& context,
-                                 platform::http_object_store& store, live_source& live,
-                                 std::string credential, agent_state& state,
+command_service::command_service(http::asio::io_context& context, objects::http_object_store& store,
+                                 live_source& live, std::string credential, agent_state& state,
                                  observe::event_log& events, std::function<void()> refresh)
     : m_context(context), m_live(live), m_credential(std::move(credential)), m_state(state),
       m_events(events), m_refresh(std::move(refresh)), m_tokens(events.identity()),
--- a/programs/agent/command_service.hpp
+++ b/programs/agent/command_service.hpp
@@ -15,8 +15,8 @@
 #include "configuration/command_executor.hpp"
 #include "http/asio.hpp"
 #include "live_source.hpp"
+#include "objects/http_object_store.hpp"
 #include "observe/event_log.hpp"
-#include "platform/http_object_store.hpp"
 
 namespace ospreystair::agent
 {
@@ -27,7 +27,7 @@
 public:
     /// `refresh` is called after a command and must not block. All references must outlive the
     /// service.
-    command_service(http::asio::io_context& context, platform::http_object_store& store,
+    command_service(http::asio::io_context& context, objects::http_object_store& store,
                     live_source& live, std::string credential, agent_state& state,
                     observe::event_log& events, std::function<void()> refresh);
 
@@ -44,7 +44,7 @@
     observe::event_log& m_events;
     const std::function<void()> m_refresh;
     base::identifier_factory m_tokens;
-    configuration::command_executor<platform::http_object_store> m_executor;
+    configuration::command_executor<objects::http_object_store> m_executor;
 };
 
 } // namespace ospreystair::agent
--- a/programs/agent/live_source.cpp
+++ b/programs/agent/live_source.cpp
@@ -83,11 +83,11 @@
     return record_key(key.substr(0, slash), sequence);
 }
 
-std::vector<record_key> sort_newest_first(const std::vector<platform::listed_object>& objects,
+std::vector<record_key> sort_newest_first(const std::vector<objects::listed_object>& objects,
                                           const std::string& vm)
 {
     std::vector<record_key> result;
-    for (const platform::listed_object& item : objects)
+    for (const objects::listed_object& item : objects)
         if (auto key = parse_record_key(item.key, vm))
             result.push_back(std::move(*key));
     // Incarnations of one length in base 36 sort as their numbers do until the year 2059.
@@ -125,7 +125,7 @@
     asio::steady_timer changed;
 };
 
-live_source::live_source(asio::io_context& context, platform::http_object_store& store,
+live_source::live_source(asio::io_context& context, objects::http_object_store& store,
                          const agent_settings& settings, agent_state& state, record_writer& records,
                          observe::event_log& events)
     : m_context(context), m_store(store), m_settings(settings), m_state(state), m_records(records),
--- a/programs/agent/live_source.hpp
+++ b/programs/agent/live_source.hpp
@@ -16,9 +16,9 @@
 #include "base/clock.hpp"
 #include "base/error.hpp"
 #include "http/asio.hpp"
+#include "objects/http_object_store.hpp"
 #include "observe/event_log.hpp"
 #include "operators/live_inquiry_executor.hpp"
-#include "platform/http_object_store.hpp"
 #include "record_writer.hpp"
 
 namespace ospreystair::agent
@@ -30,7 +30,7 @@
 {
 public:
     /// All references must outlive the source and its calls.
-    live_source(http::asio::io_context& context, platform::http_object_store& store,
+    live_source(http::asio::io_context& context, objects::http_object_store& store,
                 const agent_settings& settings, agent_state& state, record_writer& records,
                 observe::event_log& events);
 
@@ -68,7 +68,7 @@
     std::optional<configuration::member> find_live_member(const std::string& vm) const;
 
     http::asio::io_context& m_context;
-    platform::http_object_store& m_store;
+    objects::http_object_store& m_store;
     const agent_settings m_settings;
     agent_state& m_state;
     record_writer& m_records;
--- a/programs/agent/platform_follower.cpp
+++ b/programs/agent/platform_follower.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-platform_follower::platform_follower(asio::io_context& context, platform::http_object_store& store,
+platform_follower::platform_follower(asio::io_context& context, objects::http_object_store& store,
                                      std::set<std::string> seeds, agent_state& state,
                                      gossip_service& gossip, observe::event_log& events,
                                      observe::metrics& metrics)
@@ -137,13 +137,13 @@
     note_call(listed.has_value(), "list", reason);
     if (!listed)
         co_return false;
-    for (const platform::listed_object& item : *listed)
+    for (const objects::listed_object& item : *listed)
         if (item.key == configuration_key && item.version > known)
             co_return co_await read_configuration();
     co_return true;
 }
 
-void platform_follower::adopt_configuration(const platform::stored_object& object)
+void platform_follower::adopt_configuration(const objects::stored_object& object)
 {
     m_seen_configuration = std::max(m_seen_configuration, object.version);
     if (m_state.adopt_configuration(object.version, object.value, "platform"))
@@ -171,7 +171,7 @@
     if (!listed)
         co_return false;
     bool is_complete = true;
-    for (const platform::listed_object& item : *listed)
+    for (const objects::listed_object& item : *listed)
     {
         const std::string service =
             item.key.starts_with(index_prefix) ? item.key.substr(index_prefix.size()) : "";
@@ -193,7 +193,7 @@
 }
 
 void platform_follower::adopt_index(const std::string& service,
-                                    const platform::stored_object& object)
+                                    const objects::stored_object& object)
 {
     if (m_state.adopt_index(service, object.version, object.value, "platform"))
         m_gossip.publish({index_prefix + service, object.version, m_state.index_text(service)});
@@ -216,10 +216,10 @@
     }
 }
 
-void platform_follower::take_vms(const std::vector<platform::vm_entry>& vms)
+void platform_follower::take_vms(const std::vector<objects::vm_entry>& vms)
 {
     std::set<std::string> seeds = m_seeds;
-    for (const platform::vm_entry& item : vms)
+    for (const objects::vm_entry& item : vms)
     {
         const bool is_replica = m_state.is_replica(item.vm);
         if (is_replica && item.is_leaving)
--- a/programs/agent/platform_follower.hpp
+++ b/programs/agent/platform_follower.hpp
@@ -14,9 +14,9 @@
 #include "base/random.hpp"
 #include "gossip_service.hpp"
 #include "http/asio.hpp"
+#include "objects/http_object_store.hpp"
 #include "observe/event_log.hpp"
 #include "observe/metrics.hpp"
-#include "platform/http_object_store.hpp"
 
 namespace ospreystair::agent
 {
@@ -27,7 +27,7 @@
 class platform_follower
 {
 public:
-    platform_follower(http::asio::io_context& context, platform::http_object_store& store,
+    platform_follower(http::asio::io_context& context, objects::http_object_store& store,
                       std::set<std::string> seeds, agent_state& state, gossip_service& gossip,
                       observe::event_log& events, observe::metrics& metrics);
 
@@ -45,9 +45,9 @@
     http::awaitable<bool> watch_configuration();
     http::awaitable<bool> read_indexes();
     http::awaitable<void> extend_drain(std::string upstream);
-    void adopt_configuration(const platform::stored_object& object);
-    void adopt_index(const std::string& service, const platform::stored_object& object);
-    void take_vms(const std::vector<platform::vm_entry>& vms);
+    void adopt_configuration(const objects::stored_object& object);
+    void adopt_index(const std::string& service, const objects::stored_object& object);
+    void take_vms(const std::vector<objects::vm_entry>& vms);
     // Logs the first failure and the first success after it.
     void note_call(bool is_success, std::string_view call, const base::error& reason);
     http::awaitable<void> pause(std::chrono::milliseconds time);
@@ -55,7 +55,7 @@
 
     http::asio::io_context& m_context;
     http::asio::strand<http::asio::io_context::executor_type> m_strand;
-    platform::http_object_store& m_store;
+    objects::http_object_store& m_store;
     const std::set<std::string> m_seeds;
     agent_state& m_state;
     gossip_service& m_gossip;
--- a/programs/agent/record_writer.cpp
+++ b/programs/agent/record_writer.cpp
@@ -23,7 +23,7 @@
 
 } // namespace
 
-record_writer::record_writer(platform::http_object_store& store,
+record_writer::record_writer(objects::http_object_store& store,
                              const base::process_identity& identity, observe::event_log& events,
                              observe::metrics& metrics)
     : m_store(store),
@@ -165,7 +165,7 @@
     m_is_writing = false;
     // No other process writes this key, so that a conflict means that an earlier write of the batch
     // took effect and its answer was lost.
-    if (status != platform::write_status::applied && status != platform::write_status::conflict)
+    if (status != objects::write_status::applied && status != objects::write_status::conflict)
     {
         log_failure(key, reason);
         co_return false;
--- a/programs/agent/record_writer.hpp
+++ b/programs/agent/record_writer.hpp
@@ -14,9 +14,9 @@
 
 #include "base/identifier.hpp"
 #include "http/asio.hpp"
+#include "objects/http_object_store.hpp"
 #include "observe/event_log.hpp"
 #include "observe/metrics.hpp"
-#include "platform/http_object_store.hpp"
 
 namespace ospreystair::agent
 {
@@ -31,7 +31,7 @@
     /// Below the platform's limit of 1 MB, with room for the list's brackets and commas.
     static constexpr std::size_t max_batch_bytes = 900'000;
 
-    record_writer(platform::http_object_store& store, const base::process_identity& identity,
+    record_writer(objects::http_object_store& store, const base::process_identity& identity,
                   observe::event_log& events, observe::metrics& metrics);
 
     /// Takes the records of a report.
@@ -53,7 +53,7 @@
 
     void log_failure(const std::string& key, const base::error& reason);
 
-    platform::http_object_store& m_store;
+    objects::http_object_store& m_store;
     const std::string m_prefix;
     observe::event_log& m_events;
     observe::counter& m_written;
--- a/programs/entry/command_service.cpp
+++ b/programs/entry/command_service.cpp
@@ -55,7 +55,7 @@
 } // namespace
 
 command_service::command_service(entry_context& context,
-                                 std::unique_ptr<platform::http_object_store> store)
+                                 std::unique_ptr<objects::http_object_store> store)
     : m_context(context), m_store(std::move(store)),
       m_ledger(ledger_type::create(context.io.get_executor(), *m_store, m_dispatch_clock,
                                    base::seeded_random(base::system_seed()),
--- a/programs/entry/command_service.hpp
+++ b/programs/entry/command_service.hpp
@@ -11,7 +11,7 @@
 #include "dispatch/claim_ledger.hpp"
 #include "dispatch/dispatch_clock.hpp"
 #include "http/server.hpp"
-#include "platform/http_object_store.hpp"
+#include "objects/http_object_store.hpp"
 #include "programs/entry/command_sender.hpp"
 #include "programs/entry/entry_context.hpp"
 
@@ -22,7 +22,7 @@
 class command_service
 {
 public:
-    command_service(entry_context& context, std::unique_ptr<platform::http_object_store> store);
+    command_service(entry_context& context, std::unique_ptr<objects::http_object_store> store);
 
     /// Runs one command. It runs on when the caller leaves, because its outcome matters.
     http::awaitable<http::response> answer(std::string service_name, const http::request& message,
@@ -33,7 +33,7 @@
 
 private:
     using ledger_type =
-        dispatch::claim_ledger<platform::http_object_store, dispatch::system_dispatch_clock,
+        dispatch::claim_ledger<objects::http_object_store, dispatch::system_dispatch_clock,
                                base::seeded_random>;
 
     // A request that has passed its checks.
@@ -66,7 +66,7 @@
                           http::response reply);
 
     entry_context& m_context;
-    const std::unique_ptr<platform::http_object_store> m_store;
+    const std::unique_ptr<objects::http_object_store> m_store;
     const dispatch::system_dispatch_clock m_dispatch_clock{};
     const std::shared_ptr<ledger_type> m_ledger;
     command_sender m_sender;
--- a/programs/entry/entry_server.cpp
+++ b/programs/entry/entry_server.cpp
@@ -25,7 +25,7 @@
 std::optional<std::unique_ptr<entry_server>>
 entry_server::create(asio::io_context& io, const entry_settings& settings, base::error& reason)
 {
-    auto store = platform::http_object_store::create(io, settings.platform_addresses, reason);
+    auto store = objects::http_object_store::create(io, settings.platform_addresses, reason);
     if (!store)
         return std::nullopt;
     std::unique_ptr<entry_server> result(new entry_server(io, settings, std::move(*store)));
@@ -35,7 +35,7 @@
 }
 
 entry_server::entry_server(asio::io_context& io, const entry_settings& settings,
-                           std::unique_ptr<platform::http_object_store> store)
+                           std::unique_ptr<objects::http_object_store> store)
     : m_context(io, settings, base::system_seed()), m_queries(m_context),
       m_commands(m_context, std::move(store)), m_operators(m_context),
       m_agent(settings.agent_address.to_text(), settings.view_interval, m_context.views,
--- a/programs/entry/entry_server.hpp
+++ b/programs/entry/entry_server.hpp
@@ -29,7 +29,7 @@
 
 private:
     entry_server(http::asio::io_context& io, const entry_settings& settings,
-                 std::unique_ptr<platform::http_object_store> store);
+                 std::unique_ptr<objects::http_object_store> store);
     bool listen(base::error& reason);
     http::awaitable<http::response> route(const http::request& message,
                                           std::shared_ptr<http::exchange_context> exchange);
--- a/source/configuration/command_executor.hpp
+++ b/source/configuration/command_executor.hpp
@@ -23,7 +23,7 @@
 #include "configuration/stored_configuration.hpp"
 #include "configuration/view.hpp"
 #include "http/asio.hpp"
-#include "platform/object_store.hpp"
+#include "objects/object_store.hpp"
 #include "rpc/rpc_server.hpp"
 
 namespace ospreystair::configuration
@@ -43,7 +43,7 @@
 };
 
 /// Executes operators' commands. Thread-safe. `Store` and `tokens` must outlive it and its calls.
-template<platform::object_store Store>
+template<objects::object_store Store>
 class command_executor
 {
 public:
@@ -217,27 +217,27 @@
     http::awaitable<std::optional<Json::Value>>
     write(const planned_write& plan, base::time_point deadline, base::error& reason)
     {
-        if (plan.value.size() > platform::max_value_bytes)
+        if (plan.value.size() > objects::max_value_bytes)
             co_return base::fail(reason, base::error_kind::invalid_argument,
                                  fmt::format("object \"{}\" would have {} bytes, more than the {} "
                                              "that the platform stores; drop something first",
                                              plan.key, plan.value.size(),
-                                             platform::max_value_bytes));
+                                             objects::max_value_bytes));
         bool may_have_applied = false;
         while (std::chrono::steady_clock::now() < deadline)
         {
             std::uint64_t new_version = 0;
-            const platform::write_status status =
+            const objects::write_status status =
                 co_await m_store.write(plan.key, plan.value, plan.expected_version,
                                        call_deadline(deadline), new_version, reason);
-            if (status == platform::write_status::applied)
+            if (status == objects::write_status::applied)
                 co_return make_accepted(new_version, plan.expected_version);
-            if (status == platform::write_status::refused && !may_have_applied)
+            if (status == objects::write_status::refused && !may_have_applied)
             {
                 reason.message += "; nothing was written";
                 co_return std::nullopt;
             }
-            may_have_applied = may_have_applied || status == platform::write_status::unknown;
+            may_have_applied = may_have_applied || status == objects::write_status::unknown;
             std::uint64_t version = 0;
             switch (co_await resolve(plan, deadline, version))
             {
@@ -252,7 +252,7 @@
             case resolution::unknown:
                 break;
             }
-            if (status == platform::write_status::conflict && !may_have_applied)
+            if (status == objects::write_status::conflict && !may_have_applied)
             {
                 // The write did not apply, whatever the object holds now.
                 reason.kind = base::error_kind::conflict;
--- a/source/dispatch/bucket_cleanup.hpp
+++ b/source/dispatch/bucket_cleanup.hpp
@@ -9,7 +9,7 @@
 
 #include "dispatch/dispatch_clock.hpp"
 #include "dispatch/idempotency_key.hpp"
-#include "platform/object_store.hpp"
+#include "objects/object_store.hpp"
 
 namespace ospreystair::dispatch
 {
@@ -17,7 +17,7 @@
 /// Deletes at most `max_deletions` expired buckets, one call each, until the deadline and returns
 /// how many. A bucket that another VM deletes or that fails is left to the next call. Fails when
 /// the listing fails.
-template<platform::object_store Store, dispatch_clock Clock>
+template<objects::object_store Store, dispatch_clock Clock>
 http::awaitable<std::optional<std::size_t>>
 delete_expired_buckets(Store& store, const Clock& clock, std::size_t max_deletions,
                        base::time_point deadline, base::error& reason)
@@ -26,7 +26,7 @@
     if (!listed)
         co_return std::nullopt;
     std::size_t count = 0;
-    for (const platform::listed_object& item : *listed)
+    for (const objects::listed_object& item : *listed)
     {
         if (count >= max_deletions || clock.now() >= deadline)
             break;
@@ -34,7 +34,7 @@
             continue;
         base::error ignored;
         const auto status = co_await store.erase(item.key, item.version, deadline, ignored);
-        if (status == platform::write_status::applied)
+        if (status == objects::write_status::applied)
             ++count;
     }
     co_return count;
--- a/source/dispatch/claim_ledger.hpp
+++ b/source/dispatch/claim_ledger.hpp
@@ -26,7 +26,7 @@
 #include "dispatch/completion.hpp"
 #include "dispatch/dispatch_clock.hpp"
 #include "dispatch/dispatch_permit.hpp"
-#include "platform/object_store.hpp"
+#include "objects/object_store.hpp"
 
 namespace ospreystair::dispatch
 {
@@ -81,7 +81,7 @@
 template<class Store, class Clock, class Random>
 class claim_ledger : public std::enable_shared_from_this<claim_ledger<Store, Clock, Random>>
 {
-    static_assert(platform::object_store<Store>);
+    static_assert(objects::object_store<Store>);
     static_assert(dispatch_clock<Clock>);
     static_assert(base::random_source<Random>);
 
@@ -397,7 +397,7 @@
         const base::time_point deadline = m_clock.now() + m_options.call_timeout;
         auto object = co_await m_store.read(bucket, deadline, reason);
         if (!object && reason.kind == base::error_kind::not_found)
-            object = platform::stored_object{};
+            object = objects::stored_object{};
         std::optional<claim_bucket> document;
         if (object && object->version == 0)
             document.emplace();
@@ -560,9 +560,9 @@
         m_counts.writes.fetch_add(1, std::memory_order_relaxed);
         std::string text = candidate.to_text();
         const base::time_point deadline = m_clock.now() + m_options.call_timeout;
-        const platform::write_status status = co_await m_store.write(
+        const objects::write_status status = co_await m_store.write(
             bucket, std::move(text), state.version, deadline, new_version, reason);
-        if (status == platform::write_status::applied)
+        if (status == objects::write_status::applied)
         {
             assert(new_version > state.version);
             state.document = std::move(candidate);
@@ -573,15 +573,15 @@
             co_return;
         }
         work.needs_fresh = true;
-        if (status == platform::write_status::unknown)
+        if (status == objects::write_status::unknown)
             m_counts.unknown_writes.fetch_add(1, std::memory_order_relaxed);
         else
             forget_refused_write(bucket, work);
-        if (status == platform::write_status::refused)
+        if (status == objects::write_status::refused)
             fail_or_defer(bucket, work, work.included, reason);
         else
             work.deferred.insert(work.deferred.end(), work.included.begin(), work.included.end());
-        const bool is_conflict = status == platform::write_status::conflict;
+        const bool is_conflict = status == objects::write_status::conflict;
         if (is_conflict)
             m_counts.conflicts.fetch_add(1, std::memory_order_relaxed);
         co_await back_off(state, is_conflict ? m_options.max_conflict_backoff
--- a/source/platform/http_object_store.cpp
+++ b/source/objects/http_object_store.cpp
@@ -1,13 +1,13 @@
 // Maps object store calls to HTTP requests, and their answers and failures to results.
 
-#include "platform/http_object_store.hpp"
+#include "objects/http_object_store.hpp"
 
 #include <charconv>
 
 #include <fmt/format.h>
 #include <json/json.h>
 
-namespace ospreystair::platform
+namespace ospreystair::objects
 {
 
 namespace
@@ -392,4 +392,4 @@
         used->close();
 }
 
-} // namespace ospreystair::platform
+} // namespace ospreystair::objects
--- a/source/platform/http_object_store.hpp
+++ b/source/objects/http_object_store.hpp
@@ -1,7 +1,7 @@
 // Client of the platform's object service over HTTP/1.1 with kept-alive connections.
 
-#ifndef OSPREYSTAIR_PLATFORM_HTTP_OBJECT_STORE_HPP
-#define OSPREYSTAIR_PLATFORM_HTTP_OBJECT_STORE_HPP
+#ifndef OSPREYSTAIR_OBJECTS_HTTP_OBJECT_STORE_HPP
+#define OSPREYSTAIR_OBJECTS_HTTP_OBJECT_STORE_HPP
 
 #include <atomic>
 #include <memory>
@@ -11,10 +11,10 @@
 #include <vector>
 
 #include "http/client_connection.hpp"
-#include "platform/object_store.hpp"
+#include "objects/object_store.hpp"
 #include "settings/option_table.hpp"
 
-namespace ospreystair::platform
+namespace ospreystair::objects
 {
 
 /// An object_store over the platform's HTTP interface. Thread-safe. A call uses one connection; a
@@ -99,6 +99,6 @@
 
 static_assert(object_store<http_object_store>);
 
-} // namespace ospreystair::platform
+} // namespace ospreystair::objects
 
 #endif
--- a/source/platform/object_store.hpp
+++ b/source/objects/object_store.hpp
@@ -1,8 +1,8 @@
 // The platform's object service as the rest of the system sees it: versioned objects with
 // conditional updates and watches, and the list of VMs.
 
-#ifndef OSPREYSTAIR_PLATFORM_OBJECT_STORE_HPP
-#define OSPREYSTAIR_PLATFORM_OBJECT_STORE_HPP
+#ifndef OSPREYSTAIR_OBJECTS_OBJECT_STORE_HPP
+#define OSPREYSTAIR_OBJECTS_OBJECT_STORE_HPP
 
 #include <chrono>
 #include <concepts>
@@ -16,7 +16,7 @@
 #include "base/error.hpp"
 #include "http/asio.hpp"
 
-namespace ospreystair::platform
+namespace ospreystair::objects
 {
 
 /// Largest value that the platform stores.
@@ -106,6 +106,6 @@
         } -> std::same_as<http::awaitable<std::optional<std::vector<vm_entry>>>>;
 };
 
-} // namespace ospreystair::platform
+} // namespace ospreystair::objects
 
 #endif
--- a/standins/platform/object_table.cpp
+++ b/standins/platform/object_table.cpp
@@ -5,7 +5,7 @@
 namespace ospreystair::standins
 {
 
-const platform::stored_object* object_table::find(const std::string& key) const
+const objects::stored_object* object_table::find(const std::string& key) const
 {
     const auto position = m_objects.find(key);
     return position == m_objects.end() ? nullptr : &position->second;
@@ -38,9 +38,9 @@
     return true;
 }
 
-std::vector<platform::listed_object> object_table::list(const std::string& prefix) const
+std::vector<objects::listed_object> object_table::list(const std::string& prefix) const
 {
-    std::vector<platform::listed_object> result;
+    std::vector<objects::listed_object> result;
     for (auto position = m_objects.lower_bound(prefix);
          position != m_objects.end() && position->first.starts_with(prefix); ++position)
         result.push_back({position->first, position->second.version});
--- a/standins/platform/object_table.hpp
+++ b/standins/platform/object_table.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-#include "platform/object_store.hpp"
+#include "objects/object_store.hpp"
 
 namespace ospreystair::standins
 {
@@ -18,7 +18,7 @@
 class object_table
 {
 public:
-    const platform::stored_object* find(const std::string& key) const;
+    const objects::stored_object* find(const std::string& key) const;
 
     /// Stores the value when the object has `expected_version` (0: does not exist) and returns the
     /// new version; empty on conflict.
@@ -28,10 +28,10 @@
     /// Removes the object when it has `expected_version`; returns whether it did.
     bool erase(const std::string& key, std::uint64_t expected_version);
 
-    std::vector<platform::listed_object> list(const std::string& prefix) const;
+    std::vector<objects::listed_object> list(const std::string& prefix) const;
 
 private:
-    std::map<std::string, platform::stored_object> m_objects;
+    std::map<std::string, objects::stored_object> m_objects;
     // Last versions of deleted objects: a version never occurs twice for one key.
     std::map<std::string, std::uint64_t> m_deleted_versions;
 };
--- a/standins/platform/platform_service.cpp
+++ b/standins/platform/platform_service.cpp
@@ -81,7 +81,7 @@
     return http::make_text_response(code, message + "\n");
 }
 
-http::response make_object_response(const platform::stored_object& object)
+http::response make_object_response(const objects::stored_object& object)
 {
     http::response reply(http::status::ok, 11);
     reply.set(http::field::etag, fmt::format("\"{}\"", object.version));
@@ -176,7 +176,7 @@
             std::min(std::chrono::milliseconds(static_cast<std::int64_t>(*wait)), max_watch),
             std::move(context));
     }
-    const platform::stored_object* object = m_table.find(key);
+    const objects::stored_object* object = m_table.find(key);
     if (object == nullptr)
         co_return make_error(http::status::not_found, "no such object");
     co_return make_object_response(*object);
@@ -196,7 +196,7 @@
     while (!reply && clock::now() < end && !context->is_peer_gone() &&
            m_faults.outage == outage_mode::none)
     {
-        const platform::stored_object* object = m_table.find(key);
+        const objects::stored_object* object = m_table.find(key);
         if (object != nullptr && object->version > after_version && !m_faults.has_silent_watches)
         {
             reply = make_object_response(*object);
@@ -223,7 +223,7 @@
     const auto expected = expected_version(message);
     if (!expected)
         co_return make_error(http::status::bad_request, "give If-Match or If-None-Match: *");
-    if (message.body().size() > platform::max_value_bytes)
+    if (message.body().size() > objects::max_value_bytes)
         co_return make_error(http::status::payload_too_large, "values have at most 1 MB");
     http::response reply(http::status::ok, 11);
     if (message.method() == http::verb::delete_)
@@ -251,7 +251,7 @@
 {
     Json::Value body;
     body["objects"] = Json::arrayValue;
-    for (const platform::listed_object& item : m_table.list(prefix))
+    for (const objects::listed_object& item : m_table.list(prefix))
     {
         Json::Value line;
         line["key"] = item.key;
--- a/tests/unit/configuration_executor_test.cpp
+++ b/tests/unit/configuration_executor_test.cpp
@@ -29,8 +29,8 @@
     {
     }
 
-    http::awaitable<std::optional<platform::stored_object>> read(std::string key, base::time_point,
-                                                                 base::error& reason)
+    http::awaitable<std::optional<objects::stored_object>> read(std::string key, base::time_point,
+                                                                base::error& reason)
     {
         co_await yield();
         if (has_fault())
@@ -41,9 +41,9 @@
         co_return position->second;
     }
 
-    http::awaitable<platform::write_status> write(std::string key, std::string value,
-                                                  std::uint64_t expected_version, base::time_point,
-                                                  std::uint64_t& new_version, base::error& reason)
+    http::awaitable<objects::write_status> write(std::string key, std::string value,
+                                                 std::uint64_t expected_version, base::time_point,
+                                                 std::uint64_t& new_version, base::error& reason)
     {
         co_await yield();
         if (has_fault())
@@ -52,44 +52,44 @@
             switch (m_random.below(4))
             {
             case 0:
-                co_return platform::write_status::unknown;
+                co_return objects::write_status::unknown;
             case 1:
                 apply(key, value, expected_version);
-                co_return platform::write_status::unknown;
+                co_return objects::write_status::unknown;
             case 2:
                 m_delayed.push_back({key, value, expected_version});
-                co_return platform::write_status::unknown;
+                co_return objects::write_status::unknown;
             default:
                 base::fail(reason, base::error_kind::unreachable, "the platform is away");
-                co_return platform::write_status::refused;
+                co_return objects::write_status::refused;
             }
         }
         if (!apply(key, value, expected_version))
         {
             base::fail(reason, base::error_kind::conflict, "another version");
-            co_return platform::write_status::conflict;
+            co_return objects::write_status::conflict;
         }
         new_version = m_objects[key].version;
-        co_return platform::write_status::applied;
+        co_return objects::write_status::applied;
     }
 
-    http::awaitable<platform::write_status> erase(std::string, std::uint64_t, base::time_point,
-                                                  base::error&)
+    http::awaitable<objects::write_status> erase(std::string, std::uint64_t, base::time_point,
+                                                 base::error&)
     {
-        co_return platform::write_status::refused;
+        co_return objects::write_status::refused;
     }
-    http::awaitable<std::optional<platform::watch_result>>
+    http::awaitable<std::optional<objects::watch_result>>
     watch(std::string, std::uint64_t, std::chrono::milliseconds, base::error&)
     {
         co_return std::nullopt;
     }
-    http::awaitable<std::optional<std::vector<platform::listed_object>>>
+    http::awaitable<std::optional<std::vector<objects::listed_object>>>
     list(std::string, base::time_point, base::error&)
     {
         co_return std::nullopt;
     }
-    http::awaitable<std::optional<std::vector<platform::vm_entry>>> list_vms(base::time_point,
-                                                                             base::error&)
+    http::awaitable<std::optional<std::vector<objects::vm_entry>>> list_vms(base::time_point,
+                                                                            base::error&)
     {
         co_return std::nullopt;
     }
@@ -100,7 +100,7 @@
         for (const delayed_write& item : std::exchange(m_delayed, {}))
             apply(item.key, item.value, item.expected_version);
     }
-    const platform::stored_object& object(const std::string& key) { return m_objects[key]; }
+    const objects::stored_object& object(const std::string& key) { return m_objects[key]; }
     void put(const std::string& key, const std::string& value)
     {
         apply(key, value, m_objects[key].version);
@@ -118,7 +118,7 @@
 
     bool apply(const std::string& key, const std::string& value, std::uint64_t expected_version)
     {
-        platform::stored_object& object = m_objects[key];
+        objects::stored_object& object = m_objects[key];
         if (object.version != expected_version)
             return false;
         object = {value, object.version + 1 + m_random.below(2)};
@@ -136,7 +136,7 @@
 
     base::seeded_random m_random;
     std::uint64_t m_fault_percent;
-    std::map<std::string, platform::stored_object> m_objects;
+    std::map<std::string, objects::stored_object> m_objects;
     std::vector<delayed_write> m_delayed;
 };
 
--- a/tests/unit/dispatch_test.cpp
+++ b/tests/unit/dispatch_test.cpp
@@ -14,7 +14,7 @@
 {
 
 using namespace std::chrono_literals;
-using platform::write_status;
+using objects::write_status;
 
 constexpr std::chrono::seconds test_time{1'790'000'000};
 
@@ -40,8 +40,8 @@
 class fake_store
 {
 public:
-    http::awaitable<std::optional<platform::stored_object>> read(std::string key, base::time_point,
-                                                                 base::error& reason)
+    http::awaitable<std::optional<objects::stored_object>> read(std::string key, base::time_point,
+                                                                base::error& reason)
     {
         const fault kind = next_fault();
         co_await pause(kind == fault::delay ? 3ms : 0ms);
@@ -81,25 +81,25 @@
                                                     : write_status::conflict;
     }
 
-    http::awaitable<std::optional<platform::watch_result>>
+    http::awaitable<std::optional<objects::watch_result>>
     watch(std::string, std::uint64_t, std::chrono::milliseconds, base::error&)
     {
         co_return std::nullopt;
     }
 
-    http::awaitable<std::optional<std::vector<platform::listed_object>>>
+    http::awaitable<std::optional<std::vector<objects::listed_object>>>
     list(std::string prefix, base::time_point, base::error&)
     {
         const std::scoped_lock lock(m_mutex);
-        std::vector<platform::listed_object> result;
+        std::vector<objects::listed_object> result;
         for (const auto& [key, object] : m_objects)
             if (key.starts_with(prefix) && !object.value.empty())
                 result.push_back({key, object.version});
         co_return result;
     }
 
-    http::awaitable<std::optional<std::vector<platform::vm_entry>>> list_vms(base::time_point,
-                                                                             base::error&)
+    http::awaitable<std::optional<std::vector<objects::vm_entry>>> list_vms(base::time_point,
+                                                                            base::error&)
     {
         co_return std::nullopt;
     }
@@ -116,7 +116,7 @@
                std::uint64_t& new_version)
     {
         const std::scoped_lock lock(m_mutex);
-        platform::stored_object& object = m_objects[key];
+        objects::stored_object& object = m_objects[key];
         if ((object.value.empty() ? 0 : object.version) != expected)
             return false;
         object.value = value;
@@ -142,7 +142,7 @@
 
     std::mutex m_mutex;
     // Guarded by m_mutex. A deleted object has an empty value and keeps its version.
-    std::map<std::string, platform::stored_object> m_objects;
+    std::map<std::string, objects::stored_object> m_objects;
     std::vector<fault> m_faults;
     std::size_t m_next_fault = 0;
     bool m_repeats = false;
@@ -226,7 +226,7 @@
         EXPECT_TRUE(m_bucket.record(std::to_string(1'790'000'000 + index) + std::string(20, 'k'),
                                     "vm-entry-1-" + std::to_string(index), outcome::unknown,
                                     std::string(1'024, '\x01')));
-    EXPECT_LT(m_bucket.to_text().size(), platform::max_value_bytes);
+    EXPECT_LT(m_bucket.to_text().size(), objects::max_value_bytes);
 }
 
 // Guards against an outcome that overwrites the one of another attempt or an earlier one.
--- a/tests/unit/platformstandin_test.cpp
+++ b/tests/unit/platformstandin_test.cpp
@@ -7,10 +7,10 @@
 #include <rapidcheck/gtest.h>
 
 #include "http/server.hpp"
-#include "platform/http_object_store.hpp"
+#include "objects/http_object_store.hpp"
 #include "standins/platform/platform_service.hpp"
 
-namespace ospreystair::platform
+namespace ospreystair::objects
 {
 
 using namespace std::chrono_literals;
@@ -246,4 +246,4 @@
     EXPECT_EQ(counts["writes_applied"].asUInt(), 2U);
 }
 
-} // namespace ospreystair::platform
+} // namespace ospreystair::objects
