--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -2,6 +2,8 @@
 
 #include "http/client_connection.hpp"
 
+#include "http/exchange_link.hpp"
+
 #include <utility>
 
 #include <fmt/format.h>
@@ -31,6 +33,7 @@
         {
             boost::system::error_code ignored;
             result->m_stream.socket().set_option(tcp::no_delay(true), ignored);
+            enable_liveness_checks(result->m_stream.socket());
             result->m_stream.expires_never();
         }
         co_return code;
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -2,6 +2,7 @@
 
 #include "http/server.hpp"
 
+#include <array>
 #include <utility>
 
 #include <fmt/format.h>
@@ -77,19 +78,33 @@
     awaitable<bool> serve_one()
     {
         boost::system::error_code code;
+        const request_limits limits = m_owner->m_options.current_limits
+                                          ? m_owner->m_options.current_limits()
+                                          : m_owner->m_options.limits;
         beast::http::request_parser<beast::http::string_body> parser;
-        parser.header_limit(m_owner->m_options.max_header_bytes);
-        parser.body_limit(m_owner->m_options.max_body_bytes);
-        m_stream.expires_after(m_owner->m_options.receive_timeout);
-        co_await beast::http::async_read_header(m_stream, m_buffer, parser,
-                                                asio::redirect_error(asio::use_awaitable, code));
+        parser.header_limit(limits.max_header_bytes);
+        parser.body_limit(limits.max_body_bytes);
+        if (m_buffer.size() == 0)
+        {
+            m_stream.expires_after(limits.idle_timeout);
+            co_await beast::http::async_read_some(m_stream, m_buffer, parser,
+                                                  asio::redirect_error(asio::use_awaitable, code));
+            if (code && !parser.got_some())
+                co_return false;
+        }
+        m_stream.expires_after(limits.receive_timeout);
+        if (!code && !parser.is_header_done())
+            co_await beast::http::async_read_header(
+                m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, code));
         if (!code)
         {
             // From here on a graceful stop waits for this request.
             m_is_answering = true;
             m_owner->m_request_count.fetch_add(1);
-            co_await beast::http::async_read(m_stream, m_buffer, parser,
-                                             asio::redirect_error(asio::use_awaitable, code));
+            m_stream.expires_after(limits.receive_timeout);
+            if (!parser.is_done())
+                co_await beast::http::async_read(m_stream, m_buffer, parser,
+                                                 asio::redirect_error(asio::use_awaitable, code));
         }
         bool can_continue = false;
         if (!code)
@@ -159,7 +174,9 @@
     awaitable<void> refuse_malformed(boost::system::error_code code)
     {
         status answer_status = status::bad_request;
-        if (code == beast::http::error::body_limit)
+        if (code == beast::error::timeout)
+            answer_status = status::request_timeout;
+        else if (code == beast::http::error::body_limit)
             answer_status = status::payload_too_large;
         else if (code == beast::http::error::header_limit)
             answer_status = status::request_header_fields_too_large;
@@ -171,7 +188,24 @@
                                        code.message()));
         reply.keep_alive(false);
         reply.prepare_payload();
-        co_await send(reply);
+        if (co_await send(reply))
+            co_await discard_rest();
+    }
+
+    // Reads what the sender still sends: closing a connection with unread bytes resets it, which
+    // would destroy the answer on its way.
+    awaitable<void> discard_rest()
+    {
+        constexpr std::chrono::seconds longest_wait{1};
+        constexpr std::size_t most_bytes = 1 << 20;
+        boost::system::error_code code;
+        m_stream.socket().shutdown(tcp::socket::shutdown_send, code);
+        m_stream.expires_after(longest_wait);
+        std::array<char, 4096> discarded{};
+        std::size_t total = 0;
+        while (!code && total < most_bytes)
+            total += co_await m_stream.async_read_some(
+                asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, code));
     }
 
     awaitable<bool> send(const response& reply)
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -20,14 +20,23 @@
 {
 
 /// Limits that protect a server from slow or oversized senders.
-struct server_options
+struct request_limits
 {
-    tcp::endpoint address;
     std::size_t max_body_bytes = 1 << 20;
     std::uint32_t max_header_bytes = 16 << 10;
-    std::size_t max_connections = 4096;
-    /// Time for a whole request to arrive once its connection is open or was last answered.
+    /// Time until a request begins, once its connection is open or was last answered.
+    std::chrono::milliseconds idle_timeout{60'000};
+    /// Time for the header, and again for the body, once the request has begun.
     std::chrono::milliseconds receive_timeout{60'000};
+};
+
+struct server_options
+{
+    tcp::endpoint address;
+    request_limits limits;
+    /// Replaces `limits` for each next request; for limits that change while the server runs.
+    std::function<request_limits()> current_limits;
+    std::size_t max_connections = 4096;
     std::chrono::milliseconds send_timeout{10'000};
 };
 
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -116,9 +116,10 @@
     {
         server_options options;
         options.address = make_endpoint("127.0.0.1", 0);
-        options.max_body_bytes = max_body_bytes;
-        options.max_header_bytes = max_header_bytes;
-        options.receive_timeout = receive_timeout;
+        options.limits.max_body_bytes = max_body_bytes;
+        options.limits.max_header_bytes = max_header_bytes;
+        options.limits.idle_timeout = receive_timeout;
+        options.limits.receive_timeout = receive_timeout;
         options.max_connections = max_connections;
         base::error reason;
         const auto echo = [this](const request& message,
