Forwarding: Add the decisions of the query tier on a platform

Routes by host and longest prefix, weighted splits, single requests and gathered queries in one run type, hedges and retries within a budget that VMs share, choice by expected time, replicas that are paused, slow, failing, silent or replaced, and a directory that outlives outages of the registry. No sockets and no clock inside.

Check: forwarding_route_test, forwarding_replica_test, forwarding_dispatcher_test play each load pattern against a model.

--- /dev/null
+++ b/source/forwarding/record_merge.hpp
@@ -0,0 +1,23 @@
+// Merges the records that the shards of a gathered query return.
+
+#ifndef OSPREYSTAIR_FORWARDING_RECORD_MERGE_HPP
+#define OSPREYSTAIR_FORWARDING_RECORD_MERGE_HPP
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ospreystair::forwarding
+{
+
+/// Bytes of one record; a shorter remainder at the end of a part is no record.
+constexpr std::size_t record_bytes = 16;
+
+/// Returns the `most_records` greatest records of all parts, greatest first, compared byte by byte.
+/// Equal records all count.
+std::string merge_records(const std::vector<std::string_view>& parts, std::size_t most_records);
+
+} // namespace ospreystair::forwarding
+
+#endif
--- /dev/null
+++ b/source/forwarding/replica_directory.hpp
@@ -0,0 +1,70 @@
+// The replicas that the registry lists, by service, through outages of the registry.
+
+#ifndef OSPREYSTAIR_FORWARDING_REPLICA_DIRECTORY_HPP
+#define OSPREYSTAIR_FORWARDING_REPLICA_DIRECTORY_HPP
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "forwarding/replica.hpp"
+
+namespace ospreystair::forwarding
+{
+
+/// Keeps one `replica` for each incarnation that may receive work.
+///
+/// Load pattern: the registry is away and its entries lapse meanwhile. A replica that lives is back
+/// in it about two seconds after its return; until then its missing entry says nothing, so that the
+/// replica stays in use as a last resort.
+class replica_directory
+{
+public:
+    using observer = std::function<void(const std::shared_ptr<replica>&)>;
+
+    /// Time for lapsed entries to come back after an outage: two seconds by the registry's
+    /// contract, and a margin for the replica's own pace.
+    static constexpr std::chrono::milliseconds return_time{2'300};
+
+    /// `on_added` and `on_removed` are called for each incarnation that comes or goes.
+    replica_directory(observer on_added, observer on_removed);
+
+    /// Adopts the registry's whole list.
+    void apply_listing(const std::vector<registration>& listing, base::time_point now);
+    void apply_entry(const registration& entry, base::time_point now);
+    void apply_removal(const std::string& id, base::time_point now);
+
+    /// The registry cannot be reached; what is known stays in force.
+    void record_outage();
+    /// The registry answers again. Call it before the list that it gave is applied.
+    void record_return(base::time_point now);
+    /// Removes entries that have not come back in time.
+    void sweep(base::time_point now);
+    /// When `sweep` is due, if anything is in doubt.
+    std::optional<base::time_point> sweep_at() const;
+
+    /// Replicas of a service in any state; empty when it has none.
+    const std::vector<std::shared_ptr<replica>>& replicas_of(const std::string& service) const;
+    const std::map<std::string, std::shared_ptr<replica>>& replicas() const { return m_replicas; }
+    bool has_listing() const { return m_has_listing; }
+
+private:
+    void remove(const std::string& id);
+
+    observer m_on_added;
+    observer m_on_removed;
+    bool m_has_listing = false;
+    bool m_is_away = false;
+    base::time_point m_doubt_until{};
+    // Invariant: m_by_service holds exactly the replicas of m_replicas.
+    std::map<std::string, std::shared_ptr<replica>> m_replicas;
+    std::map<std::string, std::vector<std::shared_ptr<replica>>> m_by_service;
+};
+
+} // namespace ospreystair::forwarding
+
+#endif
--- /dev/null
+++ b/source/forwarding/route_table.cpp
@@ -0,0 +1,128 @@
+// Checks of a route table, and the search for a request's route.
+
+#include "forwarding/route_table.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::forwarding
+{
+
+namespace
+{
+
+bool check_route(const route& item, base::error& reason)
+{
+    const auto refuse = [&](const char* remedy)
+    {
+        base::fail(reason, base::error_kind::invalid_argument,
+                   fmt::format("route \"{}\": {}", item.name, remedy));
+        return false;
+    };
+    if (item.host.empty())
+        return refuse("the host is empty; name the host that callers send");
+    if (item.path_prefix.empty() || item.path_prefix.front() != '/' ||
+        item.path_prefix.back() != '/')
+        return refuse("the path prefix must begin and end with a slash");
+    if (item.services.empty() == item.shards.empty())
+        return refuse("name either one or more services, or shards");
+    if (item.most_attempts == 0)
+        return refuse("at least one attempt must be allowed");
+    if (item.timeout.count() <= 0 || item.objective.count() <= 0)
+        return refuse("the timeout and the objective must be above 0 ms");
+    if (item.is_gather() && !item.is_idempotent)
+        return refuse("a request over shards must be idempotent");
+    if (item.is_gather() && !(item.least_coverage >= 0 && item.least_coverage <= 1))
+        return refuse("the least coverage must lie between 0 and 1");
+    double total = 0;
+    for (const weighted_service& part : item.services)
+    {
+        if (!(part.weight >= 0) || !std::isfinite(part.weight))
+            return refuse("weights must be finite and not below 0");
+        total += part.weight;
+    }
+    if (!item.services.empty() && total <= 0)
+        return refuse("at least one weight must be above 0");
+    return true;
+}
+
+} // namespace
+
+std::size_t route::least_parts() const
+{
+    // The tolerance keeps a share such as 0.95 of 20 from being rounded up to 20 of 20.
+    constexpr double rounding_tolerance = 1e-9;
+    const double share = least_coverage * static_cast<double>(shards.size());
+    return std::max<std::size_t>(1,
+                                 static_cast<std::size_t>(std::ceil(share - rounding_tolerance)));
+}
+
+std::string normalize_host(std::string_view host)
+{
+    const std::size_t colon = host.rfind(':');
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
+        host = host.substr(0, colon);
+    std::string result(host);
+    for (char& letter : result)
+        if (letter >= 'A' && letter <= 'Z')
+            letter = static_cast<char>(letter - 'A' + 'a');
+    return result;
+}
+
+std::optional<route_table> route_table::create(std::uint64_t version, std::vector<route> routes,
+                                               std::vector<service_rule> services,
+                                               caller_limits limits, base::error& reason)
+{
+    route_table result;
+    result.m_version = version;
+    result.m_routes = std::move(routes);
+    result.m_services = std::move(services);
+    result.m_limits = limits;
+    for (std::size_t index = 0; index < result.m_routes.size(); ++index)
+    {
+        route& item = result.m_routes[index];
+        item.host = normalize_host(item.host);
+        if (!check_route(item, reason))
+            return std::nullopt;
+        result.m_routes_of_host[item.host].push_back(index);
+    }
+    for (auto& [host, indexes] : result.m_routes_of_host)
+    {
+        const auto prefix = [&](std::size_t index) -> const std::string&
+        {
+            return result.m_routes[index].path_prefix;
+        };
+        std::sort(indexes.begin(), indexes.end(),
+                  [&](std::size_t left, std::size_t right)
+                  {
+                      if (prefix(left).size() != prefix(right).size())
+                          return prefix(left).size() > prefix(right).size();
+                      return prefix(left) < prefix(right);
+                  });
+        const auto twin = std::adjacent_find(indexes.begin(), indexes.end(),
+                                             [&](std::size_t left, std::size_t right)
+                                             { return prefix(left) == prefix(right); });
+        if (twin != indexes.end())
+            return base::fail(reason, base::error_kind::invalid_argument,
+                              fmt::format("host \"{}\" has two routes for \"{}\"; remove one", host,
+                                          prefix(*twin)));
+    }
+    return result;
+}
+
+const route* route_table::find_route(std::string_view host, std::string_view path) const
+{
+    const auto found = m_routes_of_host.find(normalize_host(host));
+    if (found == m_routes_of_host.end())
+        return nullptr;
+    path = path.substr(0, path.find('?'));
+    for (const std::size_t index : found->second)
+        if (path.starts_with(m_routes[index].path_prefix))
+            return &m_routes[index];
+    return nullptr;
+}
+
+} // namespace ospreystair::forwarding
--- /dev/null
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -0,0 +1,514 @@
+// Requests from arrival to answer, against replicas that a model plays: slow, paused, failing,
+// refusing, silent and gone ones. Time is the model's own.
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <set>
+
+#include <gtest/gtest.h>
+
+#include "forwarding/dispatcher.hpp"
+
+namespace ospreystair::forwarding
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+struct message
+{
+    std::string text;
+};
+
+class fake_transport;
+
+struct quiet_observer
+{
+    template<class Run>
+    void on_hedge(const Run&, const std::string&, const replica&, base::duration)
+    {
+        ++hedges;
+    }
+    template<class Run, class Attempt>
+    void on_attempt_failed(const Run&, const std::string&, const Attempt&, const attempt_result&)
+    {
+    }
+    void on_budget_spent(const std::string&) { ++budget_refusals; }
+
+    int hedges = 0;
+    int budget_refusals = 0;
+};
+
+using test_dispatcher =
+    dispatcher<message, base::manual_clock, base::seeded_random, fake_transport, quiet_observer>;
+using test_attempt = test_dispatcher::attempt_type;
+
+/// How a replica treats each request.
+struct behaviour
+{
+    base::duration latency = 10ms;
+    attempt_outcome outcome = attempt_outcome::succeeded;
+    unsigned status = 200;
+    bool is_silent = false;
+    std::size_t connections = 4;
+};
+
+class fake_transport
+{
+public:
+    explicit fake_transport(base::manual_clock& clock) : m_clock(clock) {}
+
+    connection_room room_of(const replica& target) const
+    {
+        const std::string& id = target.facts().id;
+        const auto busy = m_busy.find(id);
+        const std::size_t used = busy == m_busy.end() ? 0 : busy->second;
+        return used < behaviour_of(id).connections ? connection_room::idle : connection_room::none;
+    }
+
+    void send(const std::shared_ptr<test_attempt>& next)
+    {
+        const std::string id = next->target->facts().id;
+        ++m_busy[id];
+        sent.push_back(id);
+        deadlines.push_back(next->deadline - m_clock.now());
+        const behaviour how = behaviour_of(id);
+        if (how.is_silent)
+            return;
+        attempt_result result;
+        result.outcome = how.outcome;
+        result.reply.status = how.status;
+        result.reply.receipt = "receipt of " + id;
+        result.reply.body = "0123456789abcde" + id.substr(0, 1);
+        m_replies.emplace(m_clock.now() + how.latency, std::pair(next, result));
+    }
+
+    void drop(const std::shared_ptr<test_attempt>& given_up)
+    {
+        --m_busy[given_up->target->facts().id];
+        dropped.push_back(given_up->target->facts().id);
+    }
+
+    std::optional<base::time_point> next() const
+    {
+        if (m_replies.empty())
+            return std::nullopt;
+        return m_replies.begin()->first;
+    }
+
+    void deliver(test_dispatcher& receiver)
+    {
+        while (!m_replies.empty() && m_replies.begin()->first <= m_clock.now())
+        {
+            const auto [ended, result] = m_replies.begin()->second;
+            m_replies.erase(m_replies.begin());
+            if (ended->is_ended)
+                continue;
+            --m_busy[ended->target->facts().id];
+            receiver.on_attempt_end(ended, result);
+        }
+    }
+
+    std::map<std::string, behaviour> behaviours;
+    std::vector<std::string> sent;
+    std::vector<base::duration> deadlines;
+    std::vector<std::string> dropped;
+
+private:
+    behaviour behaviour_of(const std::string& id) const
+    {
+        const auto found = behaviours.find(id);
+        return found == behaviours.end() ? behaviour{} : found->second;
+    }
+
+    base::manual_clock& m_clock;
+    std::map<std::string, std::size_t> m_busy;
+    std::multimap<base::time_point, std::pair<std::shared_ptr<test_attempt>, attempt_result>>
+        m_replies;
+};
+
+class dispatcher_test : public testing::Test
+{
+protected:
+    dispatcher_test() { m_clock.advance(1000s); }
+
+    /// Lists replicas "<service>1" and so on.
+    void list(const std::map<std::string, int>& services)
+    {
+        std::vector<registration> listing;
+        for (const auto& [service, count] : services)
+            for (int index = 1; index <= count; ++index)
+            {
+                registration entry;
+                entry.id = service + std::to_string(index);
+                entry.service = service;
+                entry.address = "127.0.0.1:1";
+                entry.data_centre = "a";
+                entry.slots = 2;
+                listing.push_back(entry);
+            }
+        m_directory.apply_listing(listing, m_clock.now());
+    }
+
+    void adopt(route rule)
+    {
+        rule.name = "r";
+        rule.host = "h";
+        rule.path_prefix = "/";
+        base::error reason;
+        auto table = route_table::create(1, {std::move(rule)}, {}, {}, reason);
+        ASSERT_TRUE(table) << reason.message;
+        m_dispatcher.adopt(std::make_shared<const route_table>(std::move(*table)));
+    }
+
+    static route single(bool is_idempotent)
+    {
+        route result;
+        result.is_idempotent = is_idempotent;
+        result.most_attempts = 2;
+        result.timeout = 1000ms;
+        result.objective = 120ms;
+        result.services = {weighted_service{"a", 1}};
+        return result;
+    }
+
+    static route gather(std::vector<std::string> shards, double least_coverage)
+    {
+        route result = single(true);
+        result.services.clear();
+        result.shards = std::move(shards);
+        result.least_coverage = least_coverage;
+        result.most_records = 10;
+        return result;
+    }
+
+    void submit()
+    {
+        caller_request<message> request;
+        request.id = "id";
+        request.message = std::make_shared<const message>();
+        request.deadline = 1000ms;
+        const base::time_point start = m_clock.now();
+        const std::size_t number = m_answers.size();
+        m_answers.emplace_back();
+        m_answer.reset();
+        m_run = m_dispatcher.submit(std::move(request), m_dispatcher.table()->routes().front(),
+                                    [this, start, number](answer result)
+                                    { record(number, start, std::move(result)); });
+    }
+
+    /// Keeps the answer to the newest request in m_answer.
+    void record(std::size_t number, base::time_point start, answer result)
+    {
+        EXPECT_EQ(++m_answers[number], 1U) << "answered twice";
+        if (number + 1 != m_answers.size())
+            return;
+        m_answer = std::move(result);
+        m_latency = m_clock.now() - start;
+    }
+
+    /// Plays events up to `duration` from now.
+    void play(base::duration duration)
+    {
+        const base::time_point end = m_clock.now() + duration;
+        while (true)
+        {
+            const auto reply = m_transport.next();
+            const auto timer = m_dispatcher.timers().next();
+            base::time_point at = end;
+            if (reply)
+                at = std::min(at, *reply);
+            if (timer)
+                at = std::min(at, *timer);
+            if (at > m_clock.now())
+                m_clock.advance(at - m_clock.now());
+            m_transport.deliver(m_dispatcher);
+            m_dispatcher.timers().run_due(m_clock.now());
+            const auto is_due = [&](const std::optional<base::time_point>& due)
+            {
+                return due && *due <= m_clock.now();
+            };
+            if (at == end && !is_due(m_transport.next()) && !is_due(m_dispatcher.timers().next()))
+                return;
+        }
+    }
+
+    answer ask()
+    {
+        submit();
+        play(1200ms);
+        EXPECT_TRUE(m_answer);
+        return m_answer.value_or(answer{});
+    }
+
+    /// Makes the dispatcher know the usual times, and earns repeats.
+    void warm_up(int requests = 60)
+    {
+        for (int index = 0; index < requests; ++index)
+            ask();
+        m_transport.sent.clear();
+        m_transport.dropped.clear();
+    }
+
+    base::manual_clock m_clock;
+    base::seeded_random m_random{7};
+    fake_transport m_transport{m_clock};
+    quiet_observer m_observer;
+    replica_directory m_directory{[](const auto&) {},
+                                  [](const auto&) {
+                                  }};
+    test_dispatcher m_dispatcher{m_clock,    m_random,    m_transport,
+                                 m_observer, m_directory, {{0.2, 20, 10'000ms}, "a"}};
+    std::shared_ptr<test_dispatcher::run_type> m_run;
+    // How often each request was answered.
+    std::vector<unsigned> m_answers;
+    std::optional<answer> m_answer;
+    base::duration m_latency{};
+};
+
+// Guards against a caller that waits for a paused replica although another one is free.
+TEST_F(dispatcher_test, overdue_reply_is_asked_of_another_replica)
+{
+    list({{"a", 2}});
+    adopt(single(true));
+    warm_up();
+    for (const char* id : {"a1", "a2"})
+        m_transport.behaviours[id].latency = 10ms;
+    m_transport.behaviours["a1"].is_silent = true;
+    for (int index = 0; index < 4; ++index)
+    {
+        const answer result = ask();
+        EXPECT_EQ(result.kind, answer_kind::relayed);
+        EXPECT_LT(m_latency, 60ms);
+    }
+    // Once it is known to be silent it gets no new work but a trial after a back-off.
+    EXPECT_LE(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 3);
+}
+
+// Guards against a second execution of a request that must not be repeated.
+TEST_F(dispatcher_test, lost_reply_of_unrepeatable_request_is_not_sent_again)
+{
+    list({{"a", 3}});
+    adopt(single(false));
+    for (const char* id : {"a1", "a2", "a3"})
+        m_transport.behaviours[id].outcome = attempt_outcome::lost;
+    const answer result = ask();
+    EXPECT_EQ(result.kind, answer_kind::failed);
+    EXPECT_EQ(m_transport.sent.size(), 1U);
+}
+
+// Guards against a hedge of a request that must not be repeated, and against a false "not run" at
+// its end.
+TEST_F(dispatcher_test, silent_replica_of_unrepeatable_request_ends_as_timed_out)
+{
+    list({{"a", 3}});
+    adopt(single(false));
+    for (const char* id : {"a1", "a2", "a3"})
+        m_transport.behaviours[id].is_silent = true;
+    EXPECT_EQ(ask().kind, answer_kind::timed_out);
+    EXPECT_EQ(m_transport.sent.size(), 1U);
+}
+
+// Guards against giving up a request that a replica says it has not run.
+TEST_F(dispatcher_test, refused_unrepeatable_request_goes_to_another_replica)
+{
+    list({{"a", 2}});
+    adopt(single(false));
+    m_transport.behaviours["a1"].outcome = attempt_outcome::refused;
+    for (int index = 0; index < 3; ++index)
+        EXPECT_EQ(ask().kind, answer_kind::relayed);
+    m_transport.behaviours["a2"].outcome = attempt_outcome::refused;
+    const answer result = ask();
+    EXPECT_EQ(result.kind, answer_kind::not_run);
+    EXPECT_TRUE(result.retry_after);
+}
+
+// Guards against a failure that is passed on with another replica's receipt or status.
+TEST_F(dispatcher_test, failures_everywhere_are_passed_on_as_they_came)
+{
+    list({{"a", 2}});
+    adopt(single(true));
+    for (const char* id : {"a1", "a2"})
+    {
+        m_transport.behaviours[id].outcome = attempt_outcome::failed;
+        m_transport.behaviours[id].status = 500;
+    }
+    const answer result = ask();
+    EXPECT_EQ(result.kind, answer_kind::relayed);
+    EXPECT_EQ(result.reply.status, 500U);
+    EXPECT_EQ(result.reply.receipt, "receipt of " + m_transport.sent.back());
+    EXPECT_EQ(m_transport.sent.size(), 2U);
+}
+
+// Guards against more replicas than the route allows.
+TEST_F(dispatcher_test, attempts_stay_within_route)
+{
+    list({{"a", 6}});
+    adopt(single(true));
+    for (int index = 1; index <= 6; ++index)
+        m_transport.behaviours["a" + std::to_string(index)].outcome = attempt_outcome::lost;
+    ask();
+    EXPECT_LE(m_transport.sent.size(), 2U);
+}
+
+// Guards against an answer with less than all shards before the objective, and against one that
+// waits longer than the objective for the last shard.
+TEST_F(dispatcher_test, gather_answers_within_objective_when_one_shard_is_silent)
+{
+    list({{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}});
+    adopt(gather({"a", "b", "c", "d"}, 0.75));
+    warm_up();
+    m_transport.behaviours["d1"].is_silent = true;
+    const answer result = ask();
+    EXPECT_EQ(result.kind, answer_kind::gathered);
+    EXPECT_EQ(result.missing_parts, 1U);
+    EXPECT_EQ(result.receipts.size(), 3U);
+    EXPECT_LE(m_latency, 120ms);
+    EXPECT_GE(m_latency, 90ms);
+}
+
+// Guards against waiting for a shard that is known to be down.
+TEST_F(dispatcher_test, gather_does_not_wait_for_shard_without_live_replica)
+{
+    list({{"a", 1}, {"b", 1}, {"c", 1}});
+    adopt(gather({"a", "b", "c", "d"}, 0.75));
+    const answer result = ask();
+    EXPECT_EQ(result.missing_parts, 1U);
+    EXPECT_LE(m_latency, 15ms);
+}
+
+// Guards against work on a request that cannot be served any more.
+TEST_F(dispatcher_test, gather_below_least_coverage_is_refused_before_it_runs)
+{
+    list({{"a", 1}, {"b", 1}});
+    adopt(gather({"a", "b", "c", "d"}, 0.75));
+    const answer result = ask();
+    EXPECT_EQ(result.kind, answer_kind::not_run);
+    EXPECT_EQ(m_latency, base::duration{0});
+    EXPECT_TRUE(m_transport.sent.empty());
+    ASSERT_TRUE(result.retry_after);
+    EXPECT_LE(*result.retry_after, 250ms);
+}
+
+// Guards against a refusal that says "not run" although shards have run the query.
+TEST_F(dispatcher_test, gather_that_fails_after_running_is_no_refusal)
+{
+    list({{"a", 1}, {"b", 1}});
+    adopt(gather({"a", "b"}, 1));
+    m_transport.behaviours["b1"].outcome = attempt_outcome::failed;
+    m_transport.behaviours["b1"].status = 500;
+    m_transport.behaviours["b1"].latency = 20ms;
+    EXPECT_EQ(ask().kind, answer_kind::failed);
+}
+
+// Guards against the parts of an answer from two configurations.
+TEST_F(dispatcher_test, gather_keeps_shards_of_its_configuration)
+{
+    list({{"a", 1}, {"b", 1}, {"c", 1}, {"d", 1}});
+    adopt(gather({"a", "b"}, 1));
+    submit();
+    adopt(gather({"c", "d"}, 1));
+    play(50ms);
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->receipts, (std::vector<std::string>{"receipt of a1", "receipt of b1"}));
+}
+
+// Guards against work for callers that have left.
+TEST_F(dispatcher_test, caller_that_leaves_stops_work_within_half_a_second)
+{
+    list({{"a", 1}, {"b", 1}});
+    adopt(gather({"a", "b"}, 1));
+    m_transport.behaviours["b1"].is_silent = true;
+    submit();
+    play(20ms);
+    m_run->on_caller_gone();
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->kind, answer_kind::abandoned);
+    play(400ms);
+    EXPECT_EQ(m_transport.dropped, std::vector<std::string>{"b1"});
+    EXPECT_EQ(m_transport.sent.size(), 2U);
+}
+
+// Guards against twice the load when all replicas of a service turn slow: repeats end with the
+// budget.
+TEST_F(dispatcher_test, repeats_stay_within_budget_when_all_replicas_are_slow)
+{
+    list({{"a", 2}});
+    adopt(single(true));
+    warm_up();
+    for (const char* id : {"a1", "a2"})
+        m_transport.behaviours[id].latency = 200ms;
+    constexpr int requests = 40;
+    for (int index = 0; index < requests; ++index)
+    {
+        submit();
+        play(100ms);
+    }
+    // 0.2 of the requests, and the slack of 20.
+    EXPECT_LE(m_transport.sent.size(), requests + 20U + 0.2 * 2 * requests);
+    EXPECT_GT(m_observer.budget_refusals, 0);
+}
+
+// Guards against a request that waits for a connection until its deadline: it is refused while its
+// caller can still come back.
+TEST_F(dispatcher_test, request_without_free_connection_is_refused_early)
+{
+    list({{"a", 1}});
+    adopt(single(true));
+    m_transport.behaviours["a1"].connections = 1;
+    m_transport.behaviours["a1"].latency = 300ms;
+    submit();
+    const auto first = m_run;
+    submit();
+    play(60ms);
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->kind, answer_kind::not_run);
+    EXPECT_LE(m_latency, 40ms);
+}
+
+// Guards against the order of waiting requests: the more urgent one goes first.
+TEST_F(dispatcher_test, waiting_part_is_sent_when_connection_becomes_free)
+{
+    list({{"a", 1}, {"b", 1}});
+    adopt(gather({"a", "b"}, 1));
+    m_transport.behaviours["a1"].connections = 1;
+    m_transport.behaviours["a1"].latency = 30ms;
+    submit();
+    const auto first = m_run;
+    submit();
+    play(80ms);
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->kind, answer_kind::gathered);
+    EXPECT_EQ(m_latency, 60ms);
+}
+
+// Guards against a deadline for replicas that is longer than the caller's or the route's.
+TEST_F(dispatcher_test, replicas_get_the_time_that_is_left)
+{
+    list({{"a", 2}});
+    adopt(single(true));
+    warm_up();
+    m_transport.deadlines.clear();
+    m_transport.behaviours["a1"].is_silent = true;
+    m_transport.behaviours["a2"].is_silent = true;
+    ask();
+    ASSERT_EQ(m_transport.deadlines.size(), 2U);
+    EXPECT_LE(m_transport.deadlines[0], 1000ms);
+    EXPECT_LT(m_transport.deadlines[1], m_transport.deadlines[0]);
+}
+
+// Guards against new work for a replica whose address belongs to another one.
+TEST_F(dispatcher_test, replaced_replica_gets_no_more_requests)
+{
+    list({{"a", 2}});
+    adopt(single(false));
+    m_transport.behaviours["a1"].outcome = attempt_outcome::misplaced;
+    for (int index = 0; index < 6; ++index)
+        EXPECT_EQ(ask().kind, answer_kind::relayed);
+    EXPECT_LE(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 1);
+}
+
+} // namespace
+} // namespace ospreystair::forwarding
--- /dev/null
+++ b/tests/unit/forwarding_route_test.cpp
@@ -0,0 +1,181 @@
+// Route tables, traffic splits, record merges and repeat budgets.
+
+#include <chrono>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "base/random.hpp"
+#include "forwarding/record_merge.hpp"
+#include "forwarding/repeat_budget.hpp"
+#include "forwarding/route_table.hpp"
+#include "forwarding/traffic_split.hpp"
+
+namespace ospreystair::forwarding
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+route make_route(const std::string& name, const std::string& host, const std::string& prefix)
+{
+    route result;
+    result.name = name;
+    result.host = host;
+    result.path_prefix = prefix;
+    result.is_idempotent = true;
+    result.most_attempts = 2;
+    result.timeout = 1000ms;
+    result.objective = 100ms;
+    result.services = {weighted_service{"s", 1}};
+    return result;
+}
+
+class route_table_test : public testing::Test
+{
+protected:
+    std::optional<route_table> create(std::vector<route> routes)
+    {
+        return route_table::create(7, std::move(routes), {}, {}, m_reason);
+    }
+
+    base::error m_reason;
+};
+
+// Guards against a short prefix that hides a more specific route.
+TEST_F(route_table_test, longest_prefix_of_host_wins)
+{
+    const auto table =
+        create({make_route("short", "A.example", "/a/"), make_route("long", "a.example", "/a/b/"),
+                make_route("other", "b.example", "/a/b/c/")});
+    ASSERT_TRUE(table);
+    EXPECT_EQ(table->find_route("a.example:8080", "/a/b/c/d?x=/a/")->name, "long");
+    EXPECT_EQ(table->find_route("a.EXAMPLE", "/a/c")->name, "short");
+    EXPECT_EQ(table->find_route("a.example", "/c?/a/"), nullptr);
+    EXPECT_EQ(table->find_route("c.example", "/a/"), nullptr);
+}
+
+// Guards against half a configuration in force: one wrong route refuses all.
+TEST_F(route_table_test, wrong_route_refuses_whole_table)
+{
+    auto wrong = make_route("wrong", "a.example", "/b/");
+    wrong.shards = {"s1"};
+    EXPECT_FALSE(create({make_route("right", "a.example", "/a/"), wrong}));
+    EXPECT_NE(m_reason.message.find("wrong"), std::string::npos);
+    EXPECT_FALSE(
+        create({make_route("x", "a.example", "/a/"), make_route("y", "a.example", "/a/")}));
+}
+
+// Guards against rounding that asks for one shard more than the share says.
+TEST(route_test, least_parts_of_share_are_rounded_up_exactly)
+{
+    route gather;
+    gather.shards.assign(20, "s");
+    gather.least_coverage = 0.95;
+    EXPECT_EQ(gather.least_parts(), 19U);
+    gather.least_coverage = 0.89;
+    EXPECT_EQ(gather.least_parts(), 18U);
+    gather.least_coverage = 0;
+    EXPECT_EQ(gather.least_parts(), 1U);
+}
+
+// Guards against shares that depend on chance: each service is within one request of its share.
+RC_GTEST_PROP(traffic_split_test, any_weights_are_kept_within_one_request, (std::uint64_t seed))
+{
+    const auto weights = *rc::gen::container<std::vector<unsigned>>(4, rc::gen::inRange(0U, 10U));
+    std::vector<weighted_service> services;
+    double total = 0;
+    for (const unsigned weight : weights)
+    {
+        services.push_back({"s", static_cast<double>(weight)});
+        total += weight;
+    }
+    RC_PRE(total > 0);
+    base::seeded_random random(seed);
+    traffic_split split(services, random);
+    std::vector<double> counts(services.size());
+    constexpr int requests = 500;
+    for (int index = 0; index < requests; ++index)
+        ++counts[split.next()];
+    for (std::size_t index = 0; index < services.size(); ++index)
+    {
+        RC_ASSERT(std::abs(counts[index] - requests * services[index].weight / total) <= 3.0);
+        if (services[index].weight == 0)
+            RC_ASSERT(counts[index] == 0);
+    }
+}
+
+std::string record(char first, char last)
+{
+    std::string result(record_bytes, 'm');
+    result.front() = first;
+    result.back() = last;
+    return result;
+}
+
+// Guards against signed comparison of bytes, lost duplicates, and a remainder taken for a record.
+TEST(record_merge_test, greatest_records_of_all_parts_come_first)
+{
+    const std::string one = record('a', 'z') + record('\xff', 'a') + "short remainder";
+    const std::string two = record('b', 'b') + record('b', 'b') + record('a', 'a');
+    EXPECT_EQ(merge_records({one, two}, 4),
+              record('\xff', 'a') + record('b', 'b') + record('b', 'b') + record('a', 'z'));
+    EXPECT_EQ(merge_records({}, 4), "");
+    EXPECT_EQ(merge_records({one}, 0), "");
+}
+
+class repeat_budget_test : public testing::Test
+{
+protected:
+    const repeat_rule m_rule{0.2, 50, 10'000ms};
+    base::time_point m_now{1000s};
+    repeat_budget m_budget;
+};
+
+// Guards against a VM that uses the slack of all VMs.
+TEST_F(repeat_budget_test, slack_is_shared_by_vms)
+{
+    int spent = 0;
+    while (m_budget.has_room(m_now, m_rule, 10) && ++spent < 100)
+        m_budget.record_repeat(m_now, m_rule);
+    EXPECT_LE(spent, 5);
+    EXPECT_GE(spent, 3);
+}
+
+// Guards against a burst of repeats at the border of two counted windows.
+RC_GTEST_FIXTURE_PROP(repeat_budget_test, repeats_in_any_window_stay_within_rule, ())
+{
+    repeat_budget budget;
+    base::time_point now{1000s};
+    std::vector<base::time_point> requests;
+    std::vector<base::time_point> repeats;
+    const auto steps = *rc::gen::container<std::vector<int>>(400, rc::gen::inRange(0, 400));
+    for (const int step : steps)
+    {
+        now += std::chrono::milliseconds{step};
+        budget.record_request(now, m_rule);
+        requests.push_back(now);
+        for (int index = 0; index < 2 && budget.has_room(now, m_rule, 1); ++index)
+        {
+            budget.record_repeat(now, m_rule);
+            repeats.push_back(now);
+        }
+    }
+    for (const base::time_point end : repeats)
+    {
+        const auto count = [&](const std::vector<base::time_point>& times, base::duration window)
+        {
+            return std::count_if(times.begin(), times.end(),
+                                 [&](base::time_point at)
+                                 { return at <= end && at > end - window; });
+        };
+        // The rule counts the requests of this window or of the one before it.
+        RC_ASSERT(count(repeats, m_rule.window) <=
+                  m_rule.ratio * static_cast<double>(count(requests, 2 * m_rule.window)) +
+                      m_rule.slack);
+    }
+}
+
+} // namespace
+} // namespace ospreystair::forwarding
