Platform: Run on the users' platform

Cause: the product is required on the users' platform.

Log lines are JSON on standard output with a bounded rate.

--- /dev/null
+++ b/source/observe/json_log.cpp
@@ -0,0 +1,95 @@
+// Formatting of log lines, and output that is written only when it does not block.
+
+#include "observe/json_log.hpp"
+
+#include <algorithm>
+#include <climits>
+#include <utility>
+
+#include <poll.h>
+#include <unistd.h>
+
+#include <json/json.h>
+
+namespace ospreystair::observe
+{
+
+json_field::json_field(std::string_view field_name, std::string_view text)
+    : name(field_name), json(Json::valueToQuotedString(std::string(text).c_str()))
+{
+}
+
+json_field::json_field(std::string_view field_name, base::duration value)
+    : name(field_name),
+      json(fmt::format("{:.1f}", std::chrono::duration<double, std::milli>(value).count()))
+{
+}
+
+json_log::json_log(int descriptor, std::string vm, std::string data_centre, settings values,
+                   log_level threshold)
+    : m_descriptor(descriptor), m_vm(std::move(vm)), m_data_centre(std::move(data_centre)),
+      m_settings(values), m_threshold(threshold)
+{
+}
+
+void json_log::write(base::time_point now, log_level level, std::string_view event,
+                     std::initializer_list<json_field> fields)
+{
+    if (level < m_threshold)
+        return;
+    const bool is_failure = level >= log_level::warning;
+    const bool fits = is_failure ? take(m_failures, m_settings.failures_per_second, now)
+                                 : take(m_ordinary, m_settings.ordinary_per_second, now);
+    if (!fits || m_pending.size() >= m_settings.most_pending_bytes)
+    {
+        ++m_dropped_since_line;
+        ++m_dropped_total;
+        return flush();
+    }
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    m_pending +=
+        fmt::format(R"({{"time_ms":{},"level":"{}","event":"{}","vm":"{}","data_centre":"{}")",
+                    wall.count(), to_string(level), event, m_vm, m_data_centre);
+    for (const json_field& item : fields)
+        m_pending += fmt::format(R"(,"{}":{})", item.name, item.json);
+    if (m_dropped_since_line > 0)
+        m_pending += fmt::format(R"(,"dropped_lines":{})", std::exchange(m_dropped_since_line, 0));
+    m_pending += "}\n";
+    flush();
+}
+
+void json_log::flush()
+{
+    while (!m_pending.empty())
+    {
+        // A pipe that is ready takes PIPE_BUF bytes without blocking.
+        pollfd state{m_descriptor, POLLOUT, 0};
+        if (::poll(&state, 1, 0) != 1 || (state.revents & POLLOUT) == 0)
+            return;
+        const std::size_t size = std::min<std::size_t>(m_pending.size(), PIPE_BUF);
+        const ssize_t written = ::write(m_descriptor, m_pending.data(), size);
+        if (written <= 0)
+            return;
+        m_pending.erase(0, static_cast<std::size_t>(written));
+    }
+}
+
+bool json_log::take(allowance& source, double rate, base::time_point now) const
+{
+    const double most = rate * m_settings.burst_seconds;
+    if (!source.is_started)
+        source.tokens = most;
+    else
+        source.tokens = std::min(
+            most,
+            source.tokens + rate * std::chrono::duration<double>(now - source.filled_at).count());
+    source.is_started = true;
+    source.filled_at = now;
+    if (source.tokens < 1)
+        return false;
+    source.tokens -= 1;
+    return true;
+}
+
+} // namespace ospreystair::observe
