--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -253,7 +253,7 @@
     // Opening a connection takes this long where it is slow.
     static constexpr std::chrono::milliseconds connect_time{6};
     // A remote replica costs the bytes between data centres, a local one does not.
-    static constexpr std::chrono::milliseconds remote_cost{1};
+    static constexpr std::chrono::milliseconds remote_cost{3};
     // Equal replicas are chosen at random, so that VMs do not all prefer the same one.
     static constexpr double random_share = 0.15;
     // A suspect replica is chosen after any that is not.
--- /dev/null
+++ b/source/routing/connection_plan.cpp
@@ -0,0 +1,86 @@
+// Choice in turns over the whole list of VMs.
+
+#include "routing/connection_plan.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <optional>
+#include <tuple>
+
+#include "base/hash.hpp"
+#include "base/random.hpp"
+#include "routing/connection_quota.hpp"
+
+namespace ospreystair::routing
+{
+
+namespace
+{
+
+// Connections of one VM to one replica, on average, that are worth keeping: a VM has about one
+// request at a time for a replica, and a second one when replies are slow.
+constexpr std::size_t most_per_replica = 2;
+
+std::vector<std::size_t> order_vms(const std::string& service, const std::vector<placed_name>& vms)
+{
+    const std::uint64_t service_hash = base::stable_hash(service);
+    std::vector<std::uint64_t> ranks;
+    ranks.reserve(vms.size());
+    for (const placed_name& vm : vms)
+        ranks.push_back(base::mix_bits(base::stable_hash(vm.name) ^ service_hash));
+    std::vector<std::size_t> result(vms.size());
+    std::iota(result.begin(), result.end(), 0);
+    std::sort(result.begin(), result.end(),
+              [&](std::size_t left, std::size_t right) {
+                  return std::tie(ranks[left], vms[left].name) <
+                         std::tie(ranks[right], vms[right].name);
+              });
+    return result;
+}
+
+} // namespace
+
+std::vector<std::uint32_t> plan_connections(const std::string& service, const std::string& own_vm,
+                                            const std::vector<placed_name>& vms,
+                                            const std::vector<placed_name>& replicas,
+                                            std::uint32_t limit)
+{
+    std::vector<std::uint32_t> left(replicas.size(), shared_connections(limit));
+    std::vector<std::vector<std::uint32_t>> taken(vms.size(),
+                                                  std::vector<std::uint32_t>(replicas.size()));
+    const auto choose = [&](std::size_t vm)
+    {
+        std::optional<std::size_t> best;
+        const auto key = [&](std::size_t replica)
+        {
+            const bool is_remote = replicas[replica].data_centre != vms[vm].data_centre;
+            return std::tuple(taken[vm][replica], is_remote,
+                              -static_cast<std::int64_t>(left[replica]));
+        };
+        for (std::size_t replica = 0; replica < replicas.size(); ++replica)
+            if (left[replica] > 0 && (!best || key(replica) < key(*best)))
+                best = replica;
+        return best;
+    };
+    const std::vector<std::size_t> order = order_vms(service, vms);
+    bool is_any_left = true;
+    for (std::size_t turn = 0; is_any_left && turn < most_per_replica * replicas.size(); ++turn)
+    {
+        is_any_left = false;
+        for (const std::size_t vm : order)
+        {
+            const auto replica = choose(vm);
+            if (!replica)
+                continue;
+            --left[*replica];
+            ++taken[vm][*replica];
+            is_any_left = true;
+        }
+    }
+    for (std::size_t vm = 0; vm < vms.size(); ++vm)
+        if (vms[vm].name == own_vm)
+            return taken[vm];
+    return std::vector<std::uint32_t>(replicas.size());
+}
+
+} // namespace ospreystair::routing
