Forwarding: Keep a replica whose entry has gone as a last resort for a while

Cause: gateway_change_test.outage_of_store_* failed with 503: the follower of the registry was between two watches while the store was away, so that it took the lapsed entries for replicas that had left.

Ruled out: one outage flag for both followers; a watch that outlives the outage notices nothing either.

A replica in doubt is chosen after any other.

--- a/source/forwarding/replica_directory.cpp
+++ b/source/forwarding/replica_directory.cpp
@@ -2,14 +2,16 @@
 
 #include "forwarding/replica_directory.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 namespace ospreystair::forwarding
 {
 
-replica_directory::replica_directory(observer on_added, observer on_removed)
-    : m_on_added(std::move(on_added)), m_on_removed(std::move(on_removed))
+replica_directory::replica_directory(std::chrono::milliseconds leave_time, observer on_added,
+                                     observer on_removed)
+    : m_leave_time(leave_time), m_on_added(std::move(on_added)), m_on_removed(std::move(on_removed))
 {
 }
 
@@ -37,6 +39,7 @@
     if (found != m_replicas.end() && found->second->facts().is_same_incarnation(entry))
     {
         found->second->update(entry, now);
+        m_doubtful.erase(entry.id);
         return;
     }
     if (found != m_replicas.end())
@@ -52,10 +55,8 @@
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
         return;
-    if (!m_is_away && now >= m_doubt_until)
-        remove(id);
-    else
-        found->second->set_doubtful(true);
+    found->second->set_doubtful(true);
+    m_doubtful.try_emplace(id, now + m_leave_time);
 }
 
 void replica_directory::record_outage()
@@ -68,29 +69,29 @@
     if (!m_is_away)
         return;
     m_is_away = false;
-    m_doubt_until = now + return_time;
+    m_return_until = now + return_time;
 }
 
 void replica_directory::sweep(base::time_point now)
 {
-    if (m_is_away || now < m_doubt_until)
+    if (m_is_away || now < m_return_until)
         return;
-    std::vector<std::string> missing;
-    for (const auto& [id, known] : m_replicas)
-        if (known->is_doubtful())
-            missing.push_back(id);
-    for (const std::string& id : missing)
+    std::vector<std::string> expired;
+    for (const auto& [id, until] : m_doubtful)
+        if (now >= until)
+            expired.push_back(id);
+    for (const std::string& id : expired)
         remove(id);
 }
 
 std::optional<base::time_point> replica_directory::sweep_at() const
 {
-    if (m_is_away)
+    if (m_is_away || m_doubtful.empty())
         return std::nullopt;
-    for (const auto& [id, known] : m_replicas)
-        if (known->is_doubtful())
-            return m_doubt_until;
-    return std::nullopt;
+    const auto first = std::min_element(m_doubtful.begin(), m_doubtful.end(),
+                                        [](const auto& left, const auto& right)
+                                        { return left.second < right.second; });
+    return std::max(first->second, m_return_until);
 }
 
 const std::vector<std::shared_ptr<replica>>&
@@ -106,6 +107,7 @@
     const auto found = m_replicas.find(id);
     const std::shared_ptr<replica> removed = found->second;
     m_replicas.erase(found);
+    m_doubtful.erase(id);
     const auto service = m_by_service.find(removed->facts().service);
     std::erase(service->second, removed);
     if (service->second.empty())
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -18,9 +18,10 @@
 
 /// Keeps one `replica` for each incarnation that may receive work.
 ///
-/// Load pattern: the registry is away and its entries lapse meanwhile. A replica that lives is back
-/// in it about two seconds after its return; until then its missing entry says nothing, so that the
-/// replica stays in use as a last resort.
+/// Load pattern: the registry is away and its entries lapse meanwhile, which a VM may not even
+/// notice when its watch outlives the outage. A replica that lives is back in the registry about
+/// two seconds after its return; until then a missing entry says little, so that the replica stays
+/// in use as a last resort.
 class replica_directory
 {
 public:
@@ -30,8 +31,9 @@
     /// contract, and a margin for the replica's own pace.
     static constexpr std::chrono::milliseconds return_time{2'300};
 
-    /// `on_added` and `on_removed` are called for each incarnation that comes or goes.
-    replica_directory(observer on_added, observer on_removed);
+    /// `on_added` and `on_removed` are called for each incarnation that comes or goes. A replica
+    /// whose entry has gone is kept in doubt for `leave_time`, during which it still serves.
+    replica_directory(std::chrono::milliseconds leave_time, observer on_added, observer on_removed);
 
     /// Adopts the registry's whole list.
     void apply_listing(const std::vector<registration>& listing, base::time_point now);
@@ -42,9 +44,9 @@
     void record_outage();
     /// The registry answers again. Call it before the list that it gave is applied.
     void record_return(base::time_point now);
-    /// Removes entries that have not come back in time.
+    /// Removes replicas whose entries have not come back in time.
     void sweep(base::time_point now);
-    /// When `sweep` is due, if anything is in doubt.
+    /// When `sweep` is due next, if anything is in doubt.
     std::optional<base::time_point> sweep_at() const;
 
     /// Replicas of a service in any state; empty when it has none.
@@ -55,11 +57,15 @@
 private:
     void remove(const std::string& id);
 
+    const std::chrono::milliseconds m_leave_time;
     observer m_on_added;
     observer m_on_removed;
     bool m_has_listing = false;
     bool m_is_away = false;
-    base::time_point m_doubt_until{};
+    // End of the time for entries to come back after the last outage.
+    base::time_point m_return_until{};
+    // When doubtful replicas are removed, by id.
+    std::map<std::string, base::time_point> m_doubtful;
     // Invariant: m_by_service holds exactly the replicas of m_replicas.
     std::map<std::string, std::shared_ptr<replica>> m_replicas;
     std::map<std::string, std::vector<std::shared_ptr<replica>>> m_by_service;
--- /dev/null
+++ b/standins/users_platform/replica_standin.cpp
@@ -0,0 +1,276 @@
+// Connections of a replica stand-in.
+
+#include "standins/users_platform/replica_standin.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+
+namespace ospreystair::standins
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr unsigned first_redirect = 300;
+constexpr milliseconds second_answer_delay{3};
+
+} // namespace
+
+struct replica_standin::session
+{
+    explicit session(http::tcp::socket accepted) : socket(std::move(accepted)) {}
+
+    http::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+};
+
+replica_standin::replica_standin(http::asio::io_context& context, std::string id)
+    : m_context(context), m_acceptor(context), m_id(std::move(id))
+{
+}
+
+std::optional<std::shared_ptr<replica_standin>>
+replica_standin::create(http::asio::io_context& context, replica_place place, base::error& reason)
+{
+    std::shared_ptr<replica_standin> result(new replica_standin(context, std::move(place.id)));
+    if (!result->listen(place.address, reason))
+        return std::nullopt;
+    http::asio::co_spawn(
+        context, [result] { return result->accept(); }, http::asio::detached);
+    return result;
+}
+
+bool replica_standin::listen(const http::tcp::endpoint& address, base::error& reason)
+{
+    boost::system::error_code code;
+    m_acceptor.open(address.protocol(), code);
+    if (!code)
+        m_acceptor.set_option(http::tcp::acceptor::reuse_address(true), code);
+    if (!code)
+        m_acceptor.bind(address, code);
+    if (!code)
+        m_acceptor.listen(http::asio::socket_base::max_listen_connections, code);
+    if (code)
+    {
+        base::fail(
+            reason, base::error_kind::address_in_use,
+            fmt::format("replica {} cannot listen: {}; choose another port", m_id, code.message()));
+        return false;
+    }
+    m_address = m_acceptor.local_endpoint();
+    return true;
+}
+
+std::string replica_standin::address_text() const
+{
+    return fmt::format("{}:{}", m_address.address().to_string(), m_address.port());
+}
+
+void replica_standin::set_behaviour(replica_behaviour behaviour)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_behaviour = std::move(behaviour);
+}
+
+void replica_standin::change_id(std::string id)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_id = std::move(id);
+}
+
+void replica_standin::stop()
+{
+    http::asio::post(m_context,
+                     [self = shared_from_this()]
+                     {
+                         boost::system::error_code ignored;
+                         self->m_acceptor.close(ignored);
+                         const std::scoped_lock lock(self->m_mutex);
+                         for (const auto& one : self->m_sessions)
+                         {
+                             one->socket.set_option(http::asio::socket_base::linger(true, 0),
+                                                    ignored);
+                             one->socket.close(ignored);
+                         }
+                     });
+}
+
+std::map<std::string, unsigned> replica_standin::executions() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_executions;
+}
+
+std::uint64_t replica_standin::arrivals() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_arrivals;
+}
+
+std::uint64_t replica_standin::abandoned() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_abandoned;
+}
+
+std::size_t replica_standin::open_connections() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_sessions.size();
+}
+
+std::vector<milliseconds> replica_standin::deadlines() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_deadlines;
+}
+
+std::vector<std::chrono::steady_clock::time_point> replica_standin::arrival_times() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_arrival_times;
+}
+
+http::awaitable<void> replica_standin::accept()
+{
+    const auto self = shared_from_this();
+    while (true)
+    {
+        boost::system::error_code code;
+        http::tcp::socket socket = co_await m_acceptor.async_accept(
+            http::asio::redirect_error(http::asio::use_awaitable, code));
+        if (code)
+            co_return;
+        auto one = std::make_shared<session>(std::move(socket));
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_sessions.insert(one);
+        }
+        http::asio::co_spawn(
+            m_context, [self, one] { return self->serve(one); },
+            [self, one](std::exception_ptr)
+            {
+                const std::scoped_lock lock(self->m_mutex);
+                self->m_sessions.erase(one);
+            });
+    }
+}
+
+http::awaitable<void> replica_standin::serve(std::shared_ptr<session> one)
+{
+    boost::system::error_code ignored;
+    one->socket.set_option(http::tcp::no_delay(true), ignored);
+    while (co_await serve_one(one))
+    {
+    }
+    one->socket.close(ignored);
+}
+
+replica_behaviour replica_standin::note_arrival(const http::request& message)
+{
+    const std::scoped_lock lock(m_mutex);
+    ++m_arrivals;
+    m_arrival_times.push_back(std::chrono::steady_clock::now());
+    const auto text = message["Deadline-Ms"];
+    std::int64_t deadline = 0;
+    std::from_chars(text.data(), text.data() + text.size(), deadline);
+    m_deadlines.emplace_back(deadline);
+    replica_behaviour how = m_behaviour;
+    const auto expected = message["Target-Instance"];
+    if (!expected.empty() && expected != m_id)
+    {
+        how = {};
+        how.status = 421;
+    }
+    else if (!how.refuses)
+        ++m_executions[std::string(message["Request-Id"])];
+    return how;
+}
+
+std::string replica_standin::compose(const http::request& message, const replica_behaviour& how)
+{
+    const std::scoped_lock lock(m_mutex);
+    constexpr unsigned misdirected = 421;
+    const unsigned status = how.refuses ? 503 : how.status;
+    std::string text = fmt::format("HTTP/1.1 {} Status\r\nRequest-Id: {}\r\nServer-Load: 1,0,2\r\n",
+                                   status, std::string(message["Request-Id"]));
+    if (how.refuses || status == misdirected)
+        text += "Not-Executed: 1\r\n";
+    else
+        text += fmt::format("Response-Stamp: {}.{}\r\n", m_id, ++m_receipts);
+    if (how.closes || how.is_unframed)
+        text += "Connection: close\r\n";
+    const std::string& body = status < first_redirect ? how.body : "failure";
+    if (!how.is_unframed)
+        text += fmt::format("Content-Length: {}\r\n", body.size());
+    return text + "\r\n" + body;
+}
+
+http::awaitable<bool> replica_standin::serve_one(std::shared_ptr<session> one)
+{
+    boost::system::error_code code;
+    boost::beast::http::request_parser<boost::beast::http::string_body> parser;
+    co_await boost::beast::http::async_read(
+        one->socket, one->buffer, parser,
+        http::asio::redirect_error(http::asio::use_awaitable, code));
+    if (code)
+        co_return false;
+    const http::request message = parser.release();
+    const replica_behaviour how = note_arrival(message);
+    if (how.latency.count() > 0)
+    {
+        http::asio::steady_timer timer(m_context, how.latency);
+        co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, code));
+    }
+    char byte = 0;
+    one->socket.non_blocking(true, code);
+    const std::size_t peeked =
+        one->socket.receive(boost::asio::buffer(&byte, 1), http::tcp::socket::message_peek, code);
+    if (peeked == 0 && code != boost::asio::error::would_block)
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_abandoned;
+        co_return false;
+    }
+    if (how.loses_answers)
+        co_return false;
+    if (how.is_mute)
+    {
+        // Until the other side closes.
+        co_await one->socket.async_wait(
+            http::tcp::socket::wait_read,
+            http::asio::redirect_error(http::asio::use_awaitable, code));
+        const std::scoped_lock lock(m_mutex);
+        ++m_abandoned;
+        co_return false;
+    }
+    std::string text = compose(message, how);
+    if (how.truncates)
+        text.resize(text.size() - how.body.size() / 2);
+    if (how.adds_noise)
+        text += "\x01\x02noise";
+    if (!co_await send(one, text) || how.truncates || how.is_unframed || how.closes)
+        co_return false;
+    if (how.repeats_answers)
+    {
+        http::asio::steady_timer timer(m_context, second_answer_delay);
+        co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, code));
+        co_return co_await send(one, compose(message, how));
+    }
+    co_return true;
+}
+
+http::awaitable<bool> replica_standin::send(std::shared_ptr<session> one, std::string text)
+{
+    boost::system::error_code code;
+    co_await boost::asio::async_write(one->socket, boost::asio::buffer(text),
+                                      http::asio::redirect_error(http::asio::use_awaitable, code));
+    co_return !code;
+}
+
+} // namespace ospreystair::standins
--- /dev/null
+++ b/standins/users_platform/replica_standin.hpp
@@ -0,0 +1,111 @@
+// A stand-in for one replica of the users' platform: it answers, refuses, fails, pauses and garbles
+// as it is told, and counts what it has run.
+
+#ifndef OSPREYSTAIR_STANDINS_USERS_PLATFORM_REPLICA_STANDIN_HPP
+#define OSPREYSTAIR_STANDINS_USERS_PLATFORM_REPLICA_STANDIN_HPP
+
+#include <chrono>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/error.hpp"
+#include "http/asio.hpp"
+
+namespace ospreystair::standins
+{
+
+/// What a replica does with each request.
+struct replica_behaviour
+{
+    std::chrono::milliseconds latency{2};
+    /// Status of its answers; 2xx are successes.
+    unsigned status = 200;
+    /// Says that it has not run the request.
+    bool refuses = false;
+    /// Reads, runs and never answers.
+    bool is_mute = false;
+    /// Runs, then closes the connection without an answer.
+    bool loses_answers = false;
+    /// Breaks its answers off in the middle of the body.
+    bool truncates = false;
+    /// Sends the answer a second time a moment later.
+    bool repeats_answers = false;
+    /// Sends bytes that are no answer after each answer.
+    bool adds_noise = false;
+    /// Marks the end of the body by closing the connection.
+    bool is_unframed = false;
+    /// Closes the connection after each answer.
+    bool closes = false;
+    std::string body = "0123456789abcdef";
+};
+
+struct replica_place
+{
+    std::string id;
+    http::tcp::endpoint address;
+};
+
+/// Runs on the context's thread; the public members may be called from any thread.
+class replica_standin : public std::enable_shared_from_this<replica_standin>
+{
+public:
+    static std::optional<std::shared_ptr<replica_standin>>
+    create(http::asio::io_context& context, replica_place place, base::error& reason);
+
+    const std::string& id() const { return m_id; }
+    http::tcp::endpoint address() const { return m_address; }
+    /// "ip:port"
+    std::string address_text() const;
+
+    void set_behaviour(replica_behaviour behaviour);
+    /// Another replica has the address now: requests for the old id get 421.
+    void change_id(std::string id);
+    /// Stops accepting and resets all connections.
+    void stop();
+
+    /// How often it has run requests, by request id.
+    std::map<std::string, unsigned> executions() const;
+    /// Requests that arrived, run or not.
+    std::uint64_t arrivals() const;
+    /// Requests whose connection was closed before their answer.
+    std::uint64_t abandoned() const;
+    std::size_t open_connections() const;
+    std::vector<std::chrono::milliseconds> deadlines() const;
+    std::vector<std::chrono::steady_clock::time_point> arrival_times() const;
+
+private:
+    struct session;
+
+    replica_standin(http::asio::io_context& context, std::string id);
+    bool listen(const http::tcp::endpoint& address, base::error& reason);
+    http::awaitable<void> accept();
+    http::awaitable<void> serve(std::shared_ptr<session> one);
+    http::awaitable<bool> serve_one(std::shared_ptr<session> one);
+    http::awaitable<bool> send(std::shared_ptr<session> one, std::string text);
+    replica_behaviour note_arrival(const http::request& message);
+    std::string compose(const http::request& message, const replica_behaviour& how);
+
+    http::asio::io_context& m_context;
+    http::tcp::acceptor m_acceptor;
+    http::tcp::endpoint m_address;
+    mutable std::mutex m_mutex;
+    // Guarded by m_mutex, like all that follows.
+    std::string m_id;
+    replica_behaviour m_behaviour;
+    std::map<std::string, unsigned> m_executions;
+    std::set<std::shared_ptr<session>> m_sessions;
+    std::uint64_t m_arrivals = 0;
+    std::uint64_t m_abandoned = 0;
+    std::uint64_t m_receipts = 0;
+    std::vector<std::chrono::milliseconds> m_deadlines;
+    std::vector<std::chrono::steady_clock::time_point> m_arrival_times;
+};
+
+} // namespace ospreystair::standins
+
+#endif
--- /dev/null
+++ b/standins/users_platform/store_standin.cpp
@@ -0,0 +1,326 @@
+// Calls of the store stand-in.
+
+#include "standins/users_platform/store_standin.hpp"
+
+#include <charconv>
+#include <utility>
+
+#include <fmt/format.h>
+
+namespace ospreystair::standins
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view objects_path = "/v1/objects/";
+constexpr milliseconds watch_poll{5};
+
+std::string to_text(const Json::Value& value)
+{
+    Json::StreamWriterBuilder writer;
+    writer["indentation"] = "";
+    return Json::writeString(writer, value);
+}
+
+std::string find_parameter(std::string_view target, std::string_view name)
+{
+    const std::size_t question = target.find('?');
+    if (question == std::string_view::npos)
+        return {};
+    std::string_view rest = target.substr(question + 1);
+    while (!rest.empty())
+    {
+        const std::size_t end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+            return std::string(pair.substr(name.size() + 1));
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    return {};
+}
+
+std::uint64_t parse_number(const std::string& text)
+{
+    std::uint64_t value = 0;
+    std::from_chars(text.data(), text.data() + text.size(), value);
+    return value;
+}
+
+http::response make_reply(http::status code, const Json::Value& body)
+{
+    return http::make_json_response(code, to_text(body));
+}
+
+} // namespace
+
+std::optional<std::unique_ptr<store_standin>> store_standin::create(http::asio::io_context& context,
+                                                                    http::tcp::endpoint address,
+                                                                    base::error& reason)
+{
+    std::unique_ptr<store_standin> result(new store_standin(context));
+    http::server_options options;
+    options.address = std::move(address);
+    const auto server = http::server::create(
+        context, options,
+        [store = result.get()](const http::request& message,
+                               std::shared_ptr<http::exchange_context> peer)
+        { return store->answer(message, std::move(peer)); },
+        reason);
+    if (!server)
+        return std::nullopt;
+    result->m_server = *server;
+    return result;
+}
+
+std::uint64_t store_standin::put(const std::string& kind, const std::string& name,
+                                 Json::Value content)
+{
+    const std::scoped_lock lock(m_mutex);
+    return write(kind, name, std::move(content));
+}
+
+void store_standin::remove(const std::string& kind, const std::string& name)
+{
+    const std::scoped_lock lock(m_mutex);
+    erase(kind, name);
+}
+
+std::optional<Json::Value> store_standin::find(const std::string& kind,
+                                               const std::string& name) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto group = m_objects.find(kind);
+    if (group == m_objects.end() || !group->second.contains(name))
+        return std::nullopt;
+    return group->second.at(name).content;
+}
+
+void store_standin::set_mode(store_mode mode)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_mode = mode;
+}
+
+void store_standin::set_delay(milliseconds delay)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_delay = delay;
+}
+
+void store_standin::set_losing_answers(bool is_losing)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_is_losing_answers = is_losing;
+}
+
+void store_standin::drop_history()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_history.clear();
+    m_history_start = m_revision;
+}
+
+void store_standin::cut_connections()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_cuts;
+    }
+    m_server->abort_connections();
+}
+
+std::uint64_t store_standin::call_count() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_calls;
+}
+
+http::awaitable<void> store_standin::wait(milliseconds time)
+{
+    http::asio::steady_timer timer(m_context, time);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+}
+
+http::awaitable<http::response> store_standin::answer(const http::request& message,
+                                                      std::shared_ptr<http::exchange_context> peer)
+{
+    const std::string target(message.target());
+    const bool is_change = message.method() != http::verb::get;
+    store_mode mode{};
+    milliseconds delay{};
+    bool is_losing = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_calls;
+        mode = m_mode;
+        delay = m_delay;
+        is_losing = m_is_losing_answers && is_change;
+    }
+    constexpr milliseconds for_ever{3'600'000};
+    if (mode == store_mode::silent)
+        co_await wait(for_ever);
+    if (delay.count() > 0)
+        co_await wait(delay);
+    if (mode == store_mode::refusing)
+        co_return make_reply(http::status::service_unavailable, Json::objectValue);
+    if (mode == store_mode::limiting)
+        co_return make_reply(http::status::too_many_requests, Json::objectValue);
+    if (!target.starts_with(objects_path))
+        co_return make_reply(http::status::not_found, Json::objectValue);
+    std::string path = target.substr(objects_path.size(), target.find('?') - objects_path.size());
+    const std::size_t slash = path.find('/');
+    const std::string kind = path.substr(0, slash);
+    const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+    if (!is_change && !find_parameter(target, "watch").empty())
+        co_return co_await answer_watch(
+            kind, parse_number(find_parameter(target, "watch")),
+            milliseconds{parse_number(find_parameter(target, "waitMs"))}, std::move(peer));
+    if (!is_change && name.empty())
+        co_return answer_list(kind, find_parameter(target, "after"));
+    http::response reply = answer_change(message, kind, name);
+    if (is_losing)
+        co_await wait(for_ever);
+    co_return reply;
+}
+
+http::awaitable<http::response>
+store_standin::answer_watch(std::string kind, std::uint64_t revision, milliseconds wait_time,
+                            std::shared_ptr<http::exchange_context> peer)
+{
+    const auto end = std::chrono::steady_clock::now() + wait_time;
+    while (true)
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            if (auto reply = find_changes(kind, revision))
+                co_return std::move(*reply);
+            if (std::chrono::steady_clock::now() >= end || peer->is_peer_gone())
+            {
+                Json::Value body;
+                body["events"] = Json::arrayValue;
+                body["asOf"] = Json::UInt64{m_revision};
+                co_return make_reply(http::status::ok, body);
+            }
+        }
+        co_await wait(watch_poll);
+    }
+}
+
+std::optional<http::response> store_standin::find_changes(const std::string& kind,
+                                                          std::uint64_t revision)
+{
+    if (revision < m_history_start)
+        return make_reply(http::status::gone, Json::objectValue);
+    Json::Value events(Json::arrayValue);
+    for (const change& item : m_history)
+    {
+        if (item.revision <= revision || item.kind != kind)
+            continue;
+        Json::Value event;
+        event["object"] = describe(item.what);
+        event["deleted"] = item.is_deleted;
+        events.append(std::move(event));
+    }
+    if (events.empty())
+        return std::nullopt;
+    Json::Value body;
+    body["events"] = std::move(events);
+    body["asOf"] = Json::UInt64{m_revision};
+    return make_reply(http::status::ok, body);
+}
+
+http::response store_standin::answer_list(const std::string& kind, const std::string& after)
+{
+    const std::scoped_lock lock(m_mutex);
+    Json::Value body;
+    body["items"] = Json::arrayValue;
+    body["more"] = false;
+    body["asOf"] = Json::UInt64{m_revision};
+    const auto& group = m_objects[kind];
+    for (auto item = group.upper_bound(after); item != group.end(); ++item)
+    {
+        if (body["items"].size() == page_size)
+        {
+            body["more"] = true;
+            break;
+        }
+        body["items"].append(describe(item->second));
+    }
+    return make_reply(http::status::ok, body);
+}
+
+http::response store_standin::answer_change(const http::request& message, const std::string& kind,
+                                            const std::string& name)
+{
+    const std::scoped_lock lock(m_mutex);
+    Json::Value body;
+    Json::CharReaderBuilder().newCharReader()->parse(
+        message.body().data(), message.body().data() + message.body().size(), &body, nullptr);
+    auto& group = m_objects[kind];
+    if (message.method() == http::verb::post)
+    {
+        const std::string created = body["meta"]["name"].asString();
+        if (group.contains(created))
+            return make_reply(http::status::conflict, describe(group.at(created)));
+        write(kind, created, body["spec"]);
+        return make_reply(http::status::created, describe(group.at(created)));
+    }
+    if (!group.contains(name))
+        return make_reply(http::status::not_found, Json::objectValue);
+    if (message.method() == http::verb::get)
+        return make_reply(http::status::ok, describe(group.at(name)));
+    const Json::Value& expected = body["meta"]["revision"];
+    if (expected.isUInt64() && expected.asUInt64() != group.at(name).revision)
+        return make_reply(http::status::conflict, describe(group.at(name)));
+    if (message.method() == http::verb::delete_)
+    {
+        erase(kind, name);
+        return make_reply(http::status::ok, Json::objectValue);
+    }
+    write(kind, name, body["spec"]);
+    return make_reply(http::status::ok, describe(group.at(name)));
+}
+
+std::uint64_t store_standin::write(const std::string& kind, const std::string& name,
+                                   Json::Value content)
+{
+    object& item = m_objects[kind][name];
+    if (item.revision != 0 && item.content == content)
+        return item.revision;
+    item.name = name;
+    item.revision = ++m_revision;
+    if (item.created == 0)
+        item.created = m_revision;
+    item.content = std::move(content);
+    m_history.push_back({m_revision, kind, item, false});
+    return m_revision;
+}
+
+void store_standin::erase(const std::string& kind, const std::string& name)
+{
+    auto& group = m_objects[kind];
+    const auto found = group.find(name);
+    if (found == group.end())
+        return;
+    m_history.push_back({++m_revision, kind, found->second, true});
+    group.erase(found);
+}
+
+Json::Value store_standin::describe(const object& item)
+{
+    Json::Value result;
+    result["meta"]["name"] = item.name;
+    result["meta"]["revision"] = Json::UInt64{item.revision};
+    result["meta"]["created"] = Json::UInt64{item.created};
+    result["meta"]["finalizers"] = Json::arrayValue;
+    result["meta"]["deleting"] = false;
+    result["spec"] = item.content;
+    result["status"] = item.status;
+    return result;
+}
+
+} // namespace ospreystair::standins
--- /dev/null
+++ b/standins/users_platform/store_standin.hpp
@@ -0,0 +1,113 @@
+// A stand-in for the object store of the users' platform, for tests without their bench.
+
+#ifndef OSPREYSTAIR_STANDINS_USERS_PLATFORM_STORE_STANDIN_HPP
+#define OSPREYSTAIR_STANDINS_USERS_PLATFORM_STORE_STANDIN_HPP
+
+#include <chrono>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+
+#include <json/json.h>
+
+#include "base/error.hpp"
+#include "http/server.hpp"
+
+namespace ospreystair::standins
+{
+
+/// How the store treats calls.
+enum class store_mode
+{
+    serving,
+    refusing, ///< 503: nothing was done.
+    limiting, ///< 429 to all calls.
+    silent    ///< Calls get no answer.
+};
+
+/// Objects by kind and name with one revision counter, lists in pages, watches, and conditional
+/// writes. Runs on the context's thread; the public members may be called from any thread.
+class store_standin
+{
+public:
+    static constexpr std::size_t page_size = 50;
+
+    static std::optional<std::unique_ptr<store_standin>>
+    create(http::asio::io_context& context, http::tcp::endpoint address, base::error& reason);
+
+    http::tcp::endpoint address() const { return m_server->address(); }
+
+    /// Writes like the platform's own side: without a condition. Returns the revision.
+    std::uint64_t put(const std::string& kind, const std::string& name, Json::Value content);
+    void remove(const std::string& kind, const std::string& name);
+    std::optional<Json::Value> find(const std::string& kind, const std::string& name) const;
+
+    void set_mode(store_mode mode);
+    void set_delay(std::chrono::milliseconds delay);
+    /// Answers of writes get lost: the change is made, and the connection says nothing more.
+    void set_losing_answers(bool is_losing);
+    /// Watches from before this moment get 410.
+    void drop_history();
+    /// Ends waiting watches and closes all connections.
+    void cut_connections();
+
+    std::uint64_t call_count() const;
+
+private:
+    struct object
+    {
+        std::string name;
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        Json::Value content;
+        Json::Value status;
+    };
+
+    struct change
+    {
+        std::uint64_t revision = 0;
+        std::string kind;
+        object what;
+        bool is_deleted = false;
+    };
+
+    explicit store_standin(http::asio::io_context& context) : m_context(context) {}
+
+    http::awaitable<http::response> answer(const http::request& message,
+                                           std::shared_ptr<http::exchange_context> peer);
+    http::awaitable<void> wait(std::chrono::milliseconds time);
+    http::awaitable<http::response> answer_watch(std::string kind, std::uint64_t revision,
+                                                 std::chrono::milliseconds wait_time,
+                                                 std::shared_ptr<http::exchange_context> peer);
+    http::response answer_list(const std::string& kind, const std::string& after);
+    http::response answer_change(const http::request& message, const std::string& kind,
+                                 const std::string& name);
+    // The next members need m_mutex.
+    std::uint64_t write(const std::string& kind, const std::string& name, Json::Value content);
+    void erase(const std::string& kind, const std::string& name);
+    std::optional<http::response> find_changes(const std::string& kind, std::uint64_t revision);
+    static Json::Value describe(const object& item);
+
+    http::asio::io_context& m_context;
+    std::shared_ptr<http::server> m_server;
+    mutable std::mutex m_mutex;
+    // Guarded by m_mutex, like all that follows.
+    std::map<std::string, std::map<std::string, object>> m_objects;
+    std::deque<change> m_history;
+    std::uint64_t m_revision = 1;
+    std::uint64_t m_history_start = 0;
+    store_mode m_mode = store_mode::serving;
+    std::chrono::milliseconds m_delay{0};
+    bool m_is_losing_answers = false;
+    std::uint64_t m_calls = 0;
+    // Raised to end waiting watches.
+    std::uint64_t m_cuts = 0;
+};
+
+} // namespace ospreystair::standins
+
+#endif
--- /dev/null
+++ b/tests/gateway/platform_fleet.cpp
@@ -0,0 +1,364 @@
+// Starts and feeds the parts of a platform fleet.
+
+#include "tests/gateway/platform_fleet.hpp"
+
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include "tests/integration/test_client.hpp"
+
+namespace ospreystair::testing_support
+{
+
+namespace
+{
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds start_limit{10'000};
+constexpr milliseconds call_limit{2'000};
+// Callers wait a little beyond the deadline that they send.
+constexpr milliseconds caller_patience{1'000};
+
+// An address of this process's own, so that tests that run beside each other do not meet.
+std::string make_ip(std::size_t index)
+{
+    constexpr int group = 250;
+    const int id = ::getpid();
+    return fmt::format("127.{}.{}.{}", 1 + id % group, 1 + id / group % group, 1 + index);
+}
+
+std::string single_service()
+{
+    return "single";
+}
+
+std::string shard_name(std::size_t index)
+{
+    return fmt::format("shard{}", index);
+}
+
+std::string service_of(const std::string& id)
+{
+    return id.substr(0, id.rfind('-'));
+}
+
+} // namespace
+
+std::vector<std::string> caller_answer::receipts() const
+{
+    std::vector<std::string> result;
+    const auto found = fields.find("Part-Stamps");
+    if (found == fields.end())
+        return result;
+    std::istringstream text(found->second);
+    for (std::string item; std::getline(text, item, ',');)
+        result.push_back(item.substr(item.find_first_not_of(' ')));
+    return result;
+}
+
+int caller_answer::missing_parts() const
+{
+    const auto found = fields.find("Missing-Parts");
+    return found == fields.end() ? 0 : std::stoi(found->second);
+}
+
+platform_fleet::platform_fleet(fleet_plan plan)
+    : m_plan(plan), m_work(http::asio::make_work_guard(m_context))
+{
+    m_folder =
+        (std::filesystem::temp_directory_path() / fmt::format("ospreystair-fleet-{}", ::getpid()))
+            .string();
+    std::filesystem::create_directories(m_folder);
+    base::error reason;
+    m_store = std::move(standins::store_standin::create(
+                            m_context, {http::asio::ip::make_address("127.0.0.1"), 0}, reason)
+                            .value());
+    m_thread = std::thread([this] { m_context.run(); });
+    Json::Value gather = make_route("all", "/all/");
+    gather.removeMember("service");
+    for (std::size_t shard = 0; shard < m_plan.shards; ++shard)
+    {
+        gather["gather"].append(shard_name(shard));
+        for (std::size_t index = 0; index < m_plan.replicas; ++index)
+            add_replica(shard_name(shard), index);
+    }
+    gather["topK"] = 10;
+    gather["minShare"] = m_plan.least_coverage;
+    for (std::size_t index = 0; index < m_plan.replicas; ++index)
+        add_replica(single_service(), index);
+    Json::Value once = make_route("once", "/once/");
+    once["type"] = "non_idempotent";
+    m_configuration["routes"].append(gather);
+    m_configuration["routes"].append(make_route("one", "/one/"));
+    m_configuration["routes"].append(once);
+    for (auto& route : m_configuration["routes"])
+    {
+        route["sloMs"] = Json::Int64{m_plan.objective.count()};
+        route["timeoutMs"] = Json::Int64{m_plan.timeout.count()};
+    }
+    publish();
+    m_vms.resize(m_plan.vms);
+    for (std::size_t index = 0; index < m_plan.vms; ++index)
+    {
+        gateway_vm& item = m_vms[index];
+        item.name = fmt::format("vm{}", index + 1);
+        item.data_centre = index % 2 == 0 ? "a" : "b";
+        item.ip = make_ip(index);
+        item.settings_path = fmt::format("{}/{}.toml", m_folder, item.name);
+        write_settings(item);
+        start(index);
+    }
+    for (std::size_t index = 0; index < m_plan.vms; ++index)
+        EXPECT_TRUE(wait_until_ready(index)) << log(index);
+}
+
+platform_fleet::~platform_fleet()
+{
+    for (gateway_vm& item : m_vms)
+        item.process.reset();
+    m_context.stop();
+    m_thread.join();
+    if (testing::Test::HasFailure())
+        std::cerr << "logs are kept in " << m_folder << "\n";
+    else
+        std::filesystem::remove_all(m_folder);
+}
+
+void platform_fleet::add_replica(const std::string& service, std::size_t index)
+{
+    const std::string id = fmt::format("{}-{}", service, index);
+    base::error reason;
+    auto created = standins::replica_standin::create(
+        m_context, {id, {http::asio::ip::make_address("127.0.0.1"), 0}}, reason);
+    ASSERT_TRUE(created) << reason.message;
+    m_replicas[id] = *created;
+    change_replica(id, [index](standins::replica_behaviour& how)
+                   { how.body = fmt::format("0123456789abcde{}", index % 10); });
+    register_replica(id, "ready");
+}
+
+void platform_fleet::register_replica(const std::string& id, const std::string& state)
+{
+    Json::Value entry;
+    entry["service"] = service_of(id);
+    entry["address"] = m_replicas.at(id)->address_text();
+    entry["zone"] = id.back() % 2 == 0 ? "a" : "b";
+    entry["version"] = "v1";
+    entry["slots"] = 2;
+    entry["state"] = state;
+    entry["warmupLeftMs"] = 0;
+    entry["sequence"] = 1;
+    entry["born"] = Json::Int64{1'700'000'000'000};
+    m_store->put("servers", id, entry);
+}
+
+void platform_fleet::change_all_replicas(
+    const std::function<void(standins::replica_behaviour&)>& change)
+{
+    for (const auto& [id, target] : m_replicas)
+        change_replica(id, change);
+}
+
+void platform_fleet::change_replica(const std::string& id,
+                                    const std::function<void(standins::replica_behaviour&)>& change)
+{
+    change(m_behaviours[id]);
+    m_replicas.at(id)->set_behaviour(m_behaviours[id]);
+}
+
+Json::Value platform_fleet::make_route(const std::string& name, const std::string& prefix)
+{
+    Json::Value route;
+    route["name"] = name;
+    route["host"] = "q.example";
+    route["pathPrefix"] = prefix;
+    route["type"] = "idempotent";
+    route["timeoutMs"] = 1000;
+    route["sloMs"] = 200;
+    route["priority"] = 1;
+    route["maxAttempts"] = 2;
+    route["service"] = single_service();
+    return route;
+}
+
+std::uint64_t platform_fleet::publish()
+{
+    // Versions rise in uneven steps.
+    m_version += 3;
+    m_configuration["version"] = Json::UInt64{m_version};
+    std::map<std::string, bool> services;
+    for (const auto& route : m_configuration["routes"])
+    {
+        if (route.isMember("service"))
+            services[route["service"].asString()] = true;
+        for (const auto& shard : route["gather"])
+            services[shard.asString()] = true;
+        for (const auto& part : route["trafficSplit"])
+            services[part["service"].asString()] = true;
+    }
+    m_configuration["services"] = Json::arrayValue;
+    for (const auto& [name, ignored] : services)
+    {
+        Json::Value service;
+        service["name"] = name;
+        service["healthPath"] = "/healthz";
+        service["maxConns"] = 26;
+        m_configuration["services"].append(service);
+    }
+    m_store->put("config", "main", m_configuration);
+    return m_version;
+}
+
+void platform_fleet::write_settings(gateway_vm& vm) const
+{
+    std::ofstream file(vm.settings_path);
+    file << fmt::format(R"(node = "{}"
+role = "entry"
+zone = "{}"
+ip = "{}"
+[listen]
+front = "{}:{}"
+readiness = "{}:{}"
+[bounds]
+drainMs = 3000
+configApplyMs = 3000
+graceS = 6
+retryBudgetRatio = 0.2
+retryWindowS = 10
+retrySlack = 58
+[platform]
+address = "{}:{}"
+)",
+                        vm.name, vm.data_centre, vm.ip, vm.ip, caller_port, vm.ip, readiness_port,
+                        m_store->address().address().to_string(), m_store->address().port());
+}
+
+void platform_fleet::start(std::size_t vm)
+{
+    gateway_vm& item = m_vms.at(vm);
+    item.process = std::make_unique<child_process>(
+        OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway",
+        std::vector<std::string>{"--settings", item.settings_path, "--metrics-port",
+                                 std::to_string(metrics_port)},
+        fmt::format("{}/{}.log", m_folder, item.name));
+}
+
+http::tcp::endpoint platform_fleet::endpoint_of(std::size_t vm, unsigned port) const
+{
+    return http::make_endpoint(m_vms.at(vm).ip, static_cast<std::uint16_t>(port));
+}
+
+bool platform_fleet::wait_until_ready(std::size_t vm)
+{
+    constexpr unsigned ok = 200;
+    return wait_until(start_limit, [this, vm] { return readiness(vm) == ok; });
+}
+
+namespace
+{
+
+// Runs one exchange on a connection of its own.
+caller_answer exchange(const http::tcp::endpoint& address, http::request message,
+                       milliseconds limit)
+{
+    const auto start = std::chrono::steady_clock::now();
+    http::asio::io_context context;
+    caller_answer result;
+    http::asio::co_spawn(
+        context,
+        [&]() -> http::awaitable<void>
+        {
+            http::exchange_progress progress{};
+            base::error reason;
+            auto reply = co_await http::exchange_once(context, address, std::move(message),
+                                                      start + limit, progress, reason);
+            result.reason = reason.message;
+            if (!reply)
+                co_return;
+            result.status = reply->result_int();
+            result.body = reply->body();
+            for (const auto& item : *reply)
+                result.fields[std::string(item.name_string())] = std::string(item.value());
+        },
+        http::asio::detached);
+    context.run();
+    result.elapsed =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+    return result;
+}
+
+http::request make_request(const caller_message& message)
+{
+    http::request result;
+    result.method_string(message.method);
+    result.target(message.path);
+    result.version(11);
+    result.set(http::field::host, "q.example");
+    result.set("Request-Id", message.id);
+    result.set("Deadline-Ms", std::to_string(message.deadline.count()));
+    for (const auto& [name, value] : message.fields)
+        result.set(name, value);
+    result.body() = message.body;
+    result.prepare_payload();
+    return result;
+}
+
+} // namespace
+
+unsigned platform_fleet::readiness(std::size_t vm)
+{
+    http::request message(http::verb::get, "/v1/ready", 11);
+    message.set(http::field::host, "platform");
+    return exchange(endpoint_of(vm, readiness_port), std::move(message), call_limit).status;
+}
+
+std::string platform_fleet::metrics(std::size_t vm)
+{
+    http::request message(http::verb::get, "/metrics", 11);
+    message.set(http::field::host, "platform");
+    return exchange(endpoint_of(vm, metrics_port), std::move(message), call_limit).body;
+}
+
+caller_answer platform_fleet::send(std::size_t vm, caller_message message)
+{
+    if (message.id.empty())
+        message.id = make_id();
+    return exchange(endpoint_of(vm, caller_port), make_request(message),
+                    message.deadline + caller_patience);
+}
+
+std::string platform_fleet::make_id()
+{
+    return fmt::format("request-{}", ++m_last_id);
+}
+
+unsigned platform_fleet::executions(const std::string& request_id) const
+{
+    unsigned result = 0;
+    for (const auto& [id, target] : m_replicas)
+    {
+        const auto counts = target->executions();
+        const auto found = counts.find(request_id);
+        result += found == counts.end() ? 0 : found->second;
+    }
+    return result;
+}
+
+std::uint64_t platform_fleet::arrivals(const std::string& service_prefix) const
+{
+    std::uint64_t result = 0;
+    for (const auto& [id, target] : m_replicas)
+        if (id.starts_with(service_prefix))
+            result += target->arrivals();
+    return result;
+}
+
+} // namespace ospreystair::testing_support
--- /dev/null
+++ b/tests/gateway/platform_fleet.hpp
@@ -0,0 +1,140 @@
+// Real gateway processes on loopback between stand-ins of the users' platform: its store, its
+// replicas and its callers.
+
+#ifndef OSPREYSTAIR_TESTS_GATEWAY_PLATFORM_FLEET_HPP
+#define OSPREYSTAIR_TESTS_GATEWAY_PLATFORM_FLEET_HPP
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <json/json.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+
+#include "http/client_connection.hpp"
+#include "standins/users_platform/replica_standin.hpp"
+#include "standins/users_platform/store_standin.hpp"
+#include "tests/integration/child_process.hpp"
+
+namespace ospreystair::testing_support
+{
+
+/// A request of a caller. The id is made when it is empty.
+struct caller_message
+{
+    std::string path = "/all/q";
+    std::string method = "GET";
+    std::string id = {};
+    std::string body = {};
+    std::chrono::milliseconds deadline{1000};
+    std::map<std::string, std::string> fields = {};
+};
+
+/// An answer; status 0 when none came.
+struct caller_answer
+{
+    unsigned status = 0;
+    std::string body;
+    std::map<std::string, std::string> fields;
+    std::chrono::milliseconds elapsed{0};
+    std::string reason;
+
+    std::vector<std::string> receipts() const;
+    int missing_parts() const;
+};
+
+/// One gateway process.
+struct gateway_vm
+{
+    std::string name;
+    std::string data_centre;
+    std::string ip;
+    std::string settings_path;
+    std::unique_ptr<child_process> process;
+};
+
+struct fleet_plan
+{
+    std::size_t vms = 1;
+    /// Shards of the gathered route "/all/", named "shard0" and so on.
+    std::size_t shards = 4;
+    std::size_t replicas = 2;
+    double least_coverage = 0.5;
+    std::chrono::milliseconds objective{200};
+    std::chrono::milliseconds timeout{1000};
+};
+
+/// Starts everything on construction; ends the processes that it started on destruction. Routes of
+/// host "q.example": "/all/" over the shards, "/one/" to the service "single" and "/once/" to it
+/// too, for requests that must not be repeated.
+class platform_fleet
+{
+public:
+    static constexpr unsigned caller_port = 8101;
+    static constexpr unsigned readiness_port = 8102;
+    static constexpr unsigned metrics_port = 8103;
+
+    explicit platform_fleet(fleet_plan plan);
+    ~platform_fleet();
+
+    standins::store_standin& store() { return *m_store; }
+    standins::replica_standin& replica(const std::string& id) { return *m_replicas.at(id); }
+    const std::map<std::string, std::shared_ptr<standins::replica_standin>>& replicas() const
+    {
+        return m_replicas;
+    }
+    gateway_vm& vm(std::size_t index) { return m_vms.at(index); }
+    std::size_t vm_count() const { return m_vms.size(); }
+
+    /// Adds a replica "<service>-<index>" and its entry.
+    void add_replica(const std::string& service, std::size_t index);
+    /// Writes a replica's entry again.
+    void register_replica(const std::string& id, const std::string& state);
+    void change_all_replicas(const std::function<void(standins::replica_behaviour&)>& change);
+    void change_replica(const std::string& id,
+                        const std::function<void(standins::replica_behaviour&)>& change);
+
+    /// The configuration as the operator writes it; change and `publish` it.
+    Json::Value& configuration() { return m_configuration; }
+    /// Writes the configuration with the next version, which it returns.
+    std::uint64_t publish();
+    static Json::Value make_route(const std::string& name, const std::string& prefix);
+
+    void start(std::size_t vm);
+    bool wait_until_ready(std::size_t vm);
+    unsigned readiness(std::size_t vm);
+    std::string metrics(std::size_t vm);
+    /// Sends on a new connection.
+    caller_answer send(std::size_t vm, caller_message message);
+    std::string log(std::size_t vm) { return m_vms.at(vm).process->output_text(); }
+    /// Sum of the executions of a request over all replicas.
+    unsigned executions(const std::string& request_id) const;
+    std::uint64_t arrivals(const std::string& service_prefix) const;
+
+private:
+    void write_settings(gateway_vm& vm) const;
+    http::tcp::endpoint endpoint_of(std::size_t vm, unsigned port) const;
+    std::string make_id();
+
+    const fleet_plan m_plan;
+    std::string m_folder;
+    http::asio::io_context m_context;
+    http::asio::executor_work_guard<http::asio::io_context::executor_type> m_work;
+    std::unique_ptr<standins::store_standin> m_store;
+    std::map<std::string, std::shared_ptr<standins::replica_standin>> m_replicas;
+    std::map<std::string, standins::replica_behaviour> m_behaviours;
+    Json::Value m_configuration;
+    std::uint64_t m_version = 0;
+    std::vector<gateway_vm> m_vms;
+    std::thread m_thread;
+    unsigned m_last_id = 0;
+};
+
+} // namespace ospreystair::testing_support
+
+#endif
