Forwarding: Leave the rotation while cut off from the replicas of other data centres

Ruled out: the loss of the store as the sign; it shows 2.3 s after the cut. Refusals alone; replicas of a shard may all be down everywhere.

Change: isolation_monitor takes recent refusals together with three or more lost replicas elsewhere and a second without a word from any of them as a cut. The VM is not ready then, and closes connections after its answers, until one is heard.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "base/random.hpp"
+#include "forwarding/isolation_monitor.hpp"
 #include "forwarding/repeat_budget.hpp"
 #include "forwarding/replica_directory.hpp"
 #include "forwarding/request_run.hpp"
@@ -117,6 +118,13 @@
     /// A connection to a replica of the service has become free.
     void on_room(const std::string& service) { serve_waiting(service); }
 
+    /// Whether callers are better served by VMs of other data centres.
+    bool update_isolation()
+    {
+        return m_isolation.update(m_directory, m_settings.data_centre, m_clock.now());
+    }
+    bool is_isolated() const { return m_isolation.is_isolated(); }
+
     timer_queue& timers() { return m_timers; }
     base::time_point now() const { return m_clock.now(); }
 
@@ -211,6 +219,7 @@
         m_budgets[service].record_repeat(m_clock.now(), m_settings.repeats);
     }
 
+    void note_unservable() { m_isolation.record_unservable(m_clock.now()); }
     void note_hedge(const run_type& run, const std::string& service, const replica& target,
                     base::duration waited)
     {
@@ -358,6 +367,7 @@
     dispatcher_settings m_settings;
     timer_queue m_timers;
     std::shared_ptr<const route_table> m_table;
+    isolation_monitor m_isolation;
     std::size_t m_vm_count = 1;
     // By route name.
     std::map<std::string, std::shared_ptr<route_knowledge>> m_knowledge;
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -69,12 +69,18 @@
 
     /// A connection could not be opened. Until one can, the replica is unreachable.
     void record_connect_failure(base::time_point now);
-    void record_connected() { m_connect_failures = 0; }
+    void record_connected(base::time_point now)
+    {
+        m_connect_failures = 0;
+        m_heard_at = now;
+    }
     bool is_unreachable() const { return m_connect_failures > 0; }
     /// When to try the next connection after failures.
     base::time_point reconnect_at() const { return m_reconnect_at; }
 
     std::size_t outstanding() const { return m_sent.size(); }
+    /// Last reply or new connection.
+    base::time_point heard_at() const { return m_heard_at; }
 
     /// Whether new work should go elsewhere: a reply is overdue, or it was silent, shed or broke a
     /// connection a moment ago.
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -177,6 +177,8 @@
                 missing = item.service;
         if (m_budget.left(m_dispatcher.now()) > base::duration{0} && servable >= needed_parts())
             return false;
+        if (!missing.empty())
+            m_dispatcher.note_unservable();
         finish_refused(missing.empty()
                            ? std::string("the caller's deadline leaves no time")
                            : fmt::format("{} of {} services have a live replica, {} are needed; "
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -130,7 +130,8 @@
         boost::system::error_code code;
         m_stream.socket().cancel(code);
         reply.version(message.version());
-        reply.keep_alive(message.keep_alive() && !m_owner->m_is_announced.load());
+        reply.keep_alive(message.keep_alive() && !m_owner->m_is_announced.load() &&
+                         !m_owner->m_is_absent.load());
         reply.prepare_payload();
         co_return co_await send(reply) && reply.keep_alive();
     }
--- a/source/http/server.hpp
+++ b/source/http/server.hpp
@@ -83,6 +83,8 @@
     /// Goes on accepting, but answers with `Connection: close`, so that callers that keep their
     /// connections move to another VM before stop_accepting().
     void announce_stop() { m_is_announced.store(true); }
+    /// Sends callers elsewhere like announce_stop(), but takes them back when it is over.
+    void announce_absence(bool is_absent) { m_is_absent.store(is_absent); }
 
     /// Stops accepting. Requests in flight are answered with `Connection: close`; connections that
     /// wait for a next request are closed.
@@ -110,6 +112,7 @@
     tcp::acceptor m_acceptor;
     tcp::endpoint m_address;
     std::atomic<bool> m_is_announced{false};
+    std::atomic<bool> m_is_absent{false};
     std::atomic<bool> m_is_stopping{false};
     std::atomic<std::size_t> m_request_count{0};
     std::atomic<std::size_t> m_connection_count{0};
--- a/tests/unit/forwarding_replica_test.cpp
+++ b/tests/unit/forwarding_replica_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include "forwarding/isolation_monitor.hpp"
 #include "forwarding/replica_directory.hpp"
 
 namespace ospreystair::forwarding
@@ -211,5 +212,68 @@
     EXPECT_EQ(m_directory.replicas_of("t").size(), 1U);
 }
 
+class isolation_monitor_test : public testing::Test
+{
+protected:
+    isolation_monitor_test()
+    {
+        std::vector<registration> listing;
+        for (int index = 0; index < 6; ++index)
+        {
+            registration entry = make_registration("r" + std::to_string(index), "s");
+            entry.data_centre = index < 2 ? "a" : "b";
+            listing.push_back(entry);
+        }
+        m_directory.apply_listing(listing, m_now);
+        m_now += 5s;
+    }
+
+    void lose(const std::string& id)
+    {
+        m_directory.replicas().at(id)->record_connect_failure(m_now);
+    }
+
+    bool is_isolated() { return m_monitor.update(m_directory, "a", m_now); }
+
+    base::time_point m_now{1000s};
+    replica_directory m_directory{2s, [](const auto&) {},
+                                  [](const auto&) {
+                                  }};
+    isolation_monitor m_monitor;
+};
+
+// Guards against a cut-off VM that goes on taking callers whom it can only refuse.
+TEST_F(isolation_monitor_test, refusals_with_all_others_lost_mean_a_cut_until_one_is_heard)
+{
+    for (const char* id : {"r2", "r3", "r4", "r5"})
+        lose(id);
+    EXPECT_FALSE(is_isolated());
+    m_monitor.record_unservable(m_now);
+    EXPECT_TRUE(is_isolated());
+    m_now += 10s;
+    EXPECT_TRUE(is_isolated());
+    m_directory.replicas().at("r3")->record_connected(m_now);
+    EXPECT_FALSE(is_isolated());
+}
+
+// Guards against VMs that all leave the rotation because some replicas crashed.
+TEST_F(isolation_monitor_test, refusals_beside_replies_from_elsewhere_mean_no_cut)
+{
+    for (const char* id : {"r2", "r3", "r4"})
+        lose(id);
+    m_directory.replicas().at("r5")->record_connected(m_now - 500ms);
+    m_monitor.record_unservable(m_now);
+    EXPECT_FALSE(is_isolated());
+}
+
+// Guards against a cut taken from a few lost replicas.
+TEST_F(isolation_monitor_test, two_lost_replicas_mean_no_cut)
+{
+    lose("r2");
+    lose("r3");
+    m_monitor.record_unservable(m_now);
+    EXPECT_FALSE(is_isolated());
+}
+
 } // namespace
 } // namespace ospreystair::forwarding
