Platform: Read the store through other VMs' copies in large fleets and during cuts

VMs that were cut off from the store missed changes that their peers knew.

Ruled out: longer gathering of changes; the drain time bounds it. Gossip; the store's own interface between VMs needs no second protocol and no second client.

Change: a VM serves its copy of the store's objects under the store's interface, while the copy is confirmed by the store itself. plan_reads lets two VMs of each data centre read the store when there are more than 24 VMs; the others read copies, then the store. In small fleets copies are the second choice.

Tests: gateway_reads_test (a VM without the store hears changes; a copy whose reader lost the store is refused; the store is read when the copy is gone), read_plan_test, platform_decoder_test.

--- /dev/null
+++ b/source/http/target.hpp
@@ -0,0 +1,54 @@
+// Parts of a request target.
+
+#ifndef OSPREYSTAIR_HTTP_TARGET_HPP
+#define OSPREYSTAIR_HTTP_TARGET_HPP
+
+#include <charconv>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace ospreystair::http
+{
+
+/// Returns the path without the query.
+inline std::string_view find_path(std::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+/// Returns the value of a query parameter, as it is written; absent when there is none.
+inline std::optional<std::string_view> find_parameter(std::string_view target,
+                                                      std::string_view name)
+{
+    const std::size_t question = target.find('?');
+    if (question == std::string_view::npos)
+        return std::nullopt;
+    std::string_view rest = target.substr(question + 1);
+    while (!rest.empty())
+    {
+        const std::size_t end = rest.find('&');
+        const std::string_view pair = rest.substr(0, end);
+        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
+            return pair.substr(name.size() + 1);
+        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
+    }
+    return std::nullopt;
+}
+
+/// Returns a parameter that is a whole number; absent when it is missing or has another form.
+inline std::optional<std::uint64_t> find_number(std::string_view target, std::string_view name)
+{
+    const auto text = find_parameter(target, name);
+    std::uint64_t value = 0;
+    if (!text || text->empty())
+        return std::nullopt;
+    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (parsed.ec != std::errc{} || parsed.ptr != text->data() + text->size())
+        return std::nullopt;
+    return value;
+}
+
+} // namespace ospreystair::http
+
+#endif
--- a/standins/users_platform/store_standin.cpp
+++ b/standins/users_platform/store_standin.cpp
@@ -2,11 +2,12 @@
 
 #include "standins/users_platform/store_standin.hpp"
 
-#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "http/target.hpp"
+
 namespace ospreystair::standins
 {
 
@@ -25,30 +26,6 @@
     return Json::writeString(writer, value);
 }
 
-std::string find_parameter(std::string_view target, std::string_view name)
-{
-    const std::size_t question = target.find('?');
-    if (question == std::string_view::npos)
-        return {};
-    std::string_view rest = target.substr(question + 1);
-    while (!rest.empty())
-    {
-        const std::size_t end = rest.find('&');
-        const std::string_view pair = rest.substr(0, end);
-        if (pair.starts_with(name) && pair.size() > name.size() && pair[name.size()] == '=')
-            return std::string(pair.substr(name.size() + 1));
-        rest = end == std::string_view::npos ? std::string_view{} : rest.substr(end + 1);
-    }
-    return {};
-}
-
-std::uint64_t parse_number(const std::string& text)
-{
-    std::uint64_t value = 0;
-    std::from_chars(text.data(), text.data() + text.size(), value);
-    return value;
-}
-
 http::response make_reply(http::status code, const Json::Value& body)
 {
     return http::make_json_response(code, to_text(body));
@@ -175,12 +152,13 @@
     const std::size_t slash = path.find('/');
     const std::string kind = path.substr(0, slash);
     const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
-    if (!is_change && !find_parameter(target, "watch").empty())
+    if (const auto revision = http::find_number(target, "watch"); revision && !is_change)
         co_return co_await answer_watch(
-            kind, parse_number(find_parameter(target, "watch")),
-            milliseconds{parse_number(find_parameter(target, "waitMs"))}, std::move(peer));
+            kind, *revision, milliseconds{http::find_number(target, "waitMs").value_or(0)},
+            std::move(peer));
     if (!is_change && name.empty())
-        co_return answer_list(kind, find_parameter(target, "after"));
+        co_return answer_list(kind,
+                              std::string(http::find_parameter(target, "after").value_or("")));
     http::response reply = answer_change(message, kind, name);
     if (is_losing)
         co_await wait(for_ever);
--- /dev/null
+++ b/tests/gateway/gateway_reads_test.cpp
@@ -0,0 +1,167 @@
+// Reads of the store through other VMs' copies.
+
+#include <atomic>
+#include <future>
+#include <optional>
+#include <set>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <gtest/gtest.h>
+
+#include "platform/object_mirror.hpp"
+#include "platform/store_follower.hpp"
+#include "standins/users_platform/store_standin.hpp"
+#include "tests/integration/test_client.hpp"
+
+namespace ospreystair::testing_support
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+using platform::object_mirror;
+using platform::read_source;
+using platform::store_object;
+
+/// Collects what a follower reports, and keeps a mirror like the gateway.
+struct recording_sink
+{
+    explicit recording_sink(http::asio::io_context& context) : mirror(context) {}
+
+    void on_listing(const std::vector<store_object>& objects, std::uint64_t revision)
+    {
+        names.clear();
+        for (const store_object& item : objects)
+            names.insert(item.name);
+        mirror.apply_listing(objects, revision);
+    }
+    void on_changes(const std::vector<store_object>& objects, std::uint64_t revision)
+    {
+        for (const store_object& item : objects)
+            if (item.is_deleted)
+                names.erase(item.name);
+            else
+                names.insert(item.name);
+        mirror.apply_changes(objects, revision);
+    }
+    void on_outage(const base::error&) { ++outages; }
+    void on_return() { ++returns; }
+    void on_unreadable(std::size_t) {}
+    void on_confirmed(bool is_store)
+    {
+        mirror.set_current(is_store);
+        is_from_store = is_store;
+    }
+    void on_unconfirmed() { mirror.set_current(false); }
+
+    object_mirror mirror;
+    std::set<std::string> names;
+    std::atomic<int> outages{0};
+    std::atomic<int> returns{0};
+    std::atomic<bool> is_from_store{false};
+};
+
+/// Two VMs: one reads the store, the other one knows the first's copy and a store address.
+class gateway_reads_test : public testing::Test
+{
+protected:
+    gateway_reads_test()
+    {
+        base::error reason;
+        const http::tcp::endpoint any{http::asio::ip::make_address("127.0.0.1"), 0};
+        m_store = std::move(standins::store_standin::create(m_context, any, reason).value());
+        http::server_options options;
+        options.address = any;
+        m_relay =
+            http::server::create(
+                m_context, options,
+                [this](const http::request& received, std::shared_ptr<http::exchange_context> peer)
+                { return m_reader.mirror.answer(std::string(received.target()), std::move(peer)); },
+                reason)
+                .value();
+        m_store->put("servers", "one", Json::objectValue);
+    }
+
+    ~gateway_reads_test() override
+    {
+        m_context.stop();
+        m_thread.join();
+    }
+
+    void start(const http::tcp::endpoint& store_of_second)
+    {
+        m_direct.emplace(m_context, std::vector<read_source>{{m_store->address(), false}},
+                         "servers", 20ms, m_reader);
+        m_through.emplace(
+            m_context,
+            std::vector<read_source>{{m_relay->address(), true}, {store_of_second, false}},
+            "servers", 20ms, m_other);
+        http::asio::co_spawn(
+            m_context, [this] { return m_direct->run(); }, http::asio::detached);
+        http::asio::co_spawn(
+            m_context, [this] { return m_through->run(); }, http::asio::detached);
+        m_thread = std::thread([this] { m_context.run(); });
+    }
+
+    bool other_knows(const std::string& name)
+    {
+        std::promise<bool> result;
+        http::asio::post(m_context, [&] { result.set_value(m_other.names.contains(name)); });
+        return result.get_future().get();
+    }
+
+    http::asio::io_context m_context;
+    http::asio::executor_work_guard<http::asio::io_context::executor_type> m_work{
+        m_context.get_executor()};
+    std::unique_ptr<standins::store_standin> m_store;
+    std::shared_ptr<http::server> m_relay;
+    recording_sink m_reader{m_context};
+    recording_sink m_other{m_context};
+    std::optional<platform::store_follower<recording_sink>> m_direct;
+    std::optional<platform::store_follower<recording_sink>> m_through;
+    std::thread m_thread;
+    // Nothing listens there.
+    const http::tcp::endpoint m_nowhere{http::asio::ip::make_address("127.0.0.1"), 1};
+};
+
+// Guards against a VM that is cut off from the store and misses changes that its peers know.
+TEST_F(gateway_reads_test, changes_reach_a_vm_that_cannot_reach_the_store)
+{
+    start(m_nowhere);
+    EXPECT_TRUE(wait_until(3s, [this] { return other_knows("one"); }));
+    m_store->put("servers", "two", Json::objectValue);
+    EXPECT_TRUE(wait_until(2s, [this] { return other_knows("two"); }));
+    m_store->remove("servers", "one");
+    EXPECT_TRUE(wait_until(2s, [this] { return !other_knows("one"); }));
+}
+
+// Guards against a copy that is followed although it may be old: its reader has lost the store.
+TEST_F(gateway_reads_test, copy_is_refused_while_its_reader_has_lost_the_store)
+{
+    start(m_nowhere);
+    ASSERT_TRUE(wait_until(3s, [this] { return other_knows("one"); }));
+    m_store->set_mode(standins::store_mode::refusing);
+    m_store->cut_connections();
+    EXPECT_TRUE(wait_until(5s, [this] { return m_other.outages.load() > 0; }));
+    m_store->set_mode(standins::store_mode::serving);
+    m_store->put("servers", "two", Json::objectValue);
+    EXPECT_TRUE(wait_until(5s, [this] { return other_knows("two"); }));
+    EXPECT_GT(m_other.returns.load(), 0);
+}
+
+// Guards against a VM that depends on one other VM: it reads the store when the copy is gone.
+TEST_F(gateway_reads_test, store_is_read_when_the_copy_is_gone)
+{
+    start(m_store->address());
+    ASSERT_TRUE(wait_until(3s, [this] { return other_knows("one"); }));
+    m_relay->stop_accepting();
+    m_relay->abort_connections();
+    m_store->put("servers", "two", Json::objectValue);
+    EXPECT_TRUE(wait_until(3s, [this] { return other_knows("two"); }));
+    EXPECT_TRUE(m_other.is_from_store.load());
+    EXPECT_EQ(m_other.outages.load(), 0);
+}
+
+} // namespace
+} // namespace ospreystair::testing_support
--- /dev/null
+++ b/tests/unit/platform_decoder_test.cpp
@@ -0,0 +1,248 @@
+// Decoders of the platform's objects and settings, callers' requests, and the choice of sources.
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+#include "platform/configuration_decoder.hpp"
+#include "platform/forwarded_message.hpp"
+#include "platform/read_plan.hpp"
+#include "platform/registration_decoder.hpp"
+#include "platform/vm_settings.hpp"
+
+namespace ospreystair::platform
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr const char* settings_text = R"(node = "vm1"
+zone = "a"
+portRange = [7380, 7395]
+unknown = { more = 1 }
+[listen]
+front = "127.0.0.1:8104"
+readiness = "127.0.0.1:8108"
+[bounds]
+drainMs = 5000
+retryBudgetRatio = 0.3
+retryWindowS = 2.5
+[platform]
+address = "10.200.1.7:8102"
+)";
+
+// Guards against settings that are read under another name or unit.
+TEST(vm_settings_test, known_fields_are_read_and_others_ignored)
+{
+    base::error reason;
+    const auto settings = vm_settings::parse(settings_text, reason);
+    ASSERT_TRUE(settings) << reason.message;
+    EXPECT_EQ(settings->vm, "vm1");
+    EXPECT_EQ(settings->store_address.port(), 8102);
+    EXPECT_EQ(settings->relay_address.port(), 7380);
+    EXPECT_EQ(settings->drain_time, 5000ms);
+    EXPECT_EQ(settings->repeats.window, 2500ms);
+    EXPECT_DOUBLE_EQ(settings->repeats.ratio, 0.3);
+}
+
+// Guards against a start with half the settings, and an error that does not say which field.
+TEST(vm_settings_test, missing_or_wrong_field_is_named)
+{
+    base::error reason;
+    std::string text = settings_text;
+    text.replace(text.find("10.200.1.7:8102"), 15, "somewhere");
+    EXPECT_FALSE(vm_settings::parse(text, reason));
+    EXPECT_NE(reason.message.find("platform.address"), std::string::npos);
+    EXPECT_FALSE(vm_settings::parse("node = \"x\"\n", reason));
+    EXPECT_NE(reason.message.find("zone"), std::string::npos);
+    EXPECT_FALSE(vm_settings::parse("node = ", reason));
+}
+
+Json::Value parse(const std::string& text)
+{
+    return parse_json(text).value_or(Json::Value());
+}
+
+// Guards against routes that lose their limits or shares on the way in.
+TEST(configuration_decoder_test, all_kinds_of_route_are_decoded)
+{
+    base::error reason;
+    const auto table = decode_configuration(parse(R"({"version":9,"routes":[
+        {"name":"g","host":"H.example","pathPrefix":"/g/","type":"idempotent","timeoutMs":600,
+         "sloMs":60,"priority":2,"gather":["s1","s2"],"maxAttempts":2,"topK":5,"minShare":0.75},
+        {"name":"s","host":"h.example","pathPrefix":"/s/","type":"non_idempotent","timeoutMs":500,
+         "sloMs":50,"priority":0,"maxAttempts":1,
+         "trafficSplit":[{"service":"a","weight":1},{"service":"b","weight":3}]},
+        {"name":"o","host":"h.example","pathPrefix":"/o/","type":"idempotent","timeoutMs":500,
+         "sloMs":50,"priority":1,"maxAttempts":3,"service":"a","gather":null}],
+        "services":[{"name":"a","maxConns":26,"healthPath":"/healthz"}],
+        "limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":3,"idleTimeoutMs":4}
+        })"),
+                                            reason);
+    ASSERT_TRUE(table) << reason.message;
+    EXPECT_EQ(table->version(), 9U);
+    const auto* gather = table->find_route("h.example", "/g/x");
+    ASSERT_TRUE(gather);
+    EXPECT_EQ(gather->shards, (std::vector<std::string>{"s1", "s2"}));
+    EXPECT_EQ(gather->most_records, 5U);
+    EXPECT_EQ(gather->objective, 60ms);
+    const auto* split = table->find_route("h.example", "/s/x");
+    ASSERT_TRUE(split);
+    EXPECT_FALSE(split->is_idempotent);
+    EXPECT_DOUBLE_EQ(split->services.at(1).weight, 3);
+    EXPECT_EQ(table->find_route("h.example", "/o/")->services.at(0).service, "a");
+    EXPECT_EQ(table->services().at(0).most_connections, 26U);
+    EXPECT_EQ(table->limits().body_bytes, 2000U);
+}
+
+// Guards against a configuration of another writer that is used in part.
+TEST(configuration_decoder_test, wrong_types_refuse_the_whole)
+{
+    base::error reason;
+    for (const char* text :
+         {"[]", "{}", R"({"version":"7"})", R"({"version":-1})", R"({"version":1,"routes":{}})",
+          R"({"version":1,"routes":[7]})",
+          R"({"version":1,"routes":[{"name":"x","host":"h","pathPrefix":"x","type":"idempotent",
+             "timeoutMs":1,"sloMs":1,"service":"s"}]})",
+          R"({"version":1,"routes":[{"name":"x","host":"h","pathPrefix":"/","type":"idempotent",
+             "timeoutMs":true,"sloMs":1,"service":"s"}]})",
+          R"({"version":1,"routes":[{"name":"x","host":"h","pathPrefix":"/","type":"idempotent",
+             "timeoutMs":1,"sloMs":1,"gather":["s",1]}]})"})
+        EXPECT_FALSE(decode_configuration(parse(text), reason)) << text;
+}
+
+// Guards against entries of another writer that name a replica.
+TEST(registration_decoder_test, only_whole_entries_name_a_replica)
+{
+    base::error reason;
+    store_object entry;
+    entry.name = "i-1";
+    entry.content = parse(R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",
+        "slots":2,"state":"draining","warmupLeftMs":1500,"sequence":4,"born":1700000000123})");
+    const auto decoded = decode_registration(entry, reason);
+    ASSERT_TRUE(decoded) << reason.message;
+    EXPECT_EQ(decoded->id, "i-1");
+    EXPECT_TRUE(decoded->is_draining);
+    EXPECT_EQ(decoded->warm_up_left, 1500ms);
+    EXPECT_EQ(decoded->started_at, 1700000000123ms);
+    for (const char* member : {"service", "address", "zone", "slots", "state"})
+    {
+        store_object damaged = entry;
+        damaged.content.removeMember(member);
+        EXPECT_FALSE(decode_registration(damaged, reason)) << member;
+        damaged.content[member] = Json::arrayValue;
+        EXPECT_FALSE(decode_registration(damaged, reason)) << member;
+    }
+    store_object unknown = entry;
+    unknown.content["state"] = "resting";
+    EXPECT_FALSE(decode_registration(unknown, reason));
+    unknown = entry;
+    unknown.content["born"] = 1.5;
+    EXPECT_FALSE(decode_registration(unknown, reason));
+}
+
+http::request make_received()
+{
+    http::request received(http::verb::post, "/a/b?c=d", 11);
+    received.set(http::field::host, "h.example");
+    received.set("Request-Id", "id-1");
+    received.set("Deadline-Ms", "300");
+    received.set(http::field::connection, "keep-alive, X-Hop");
+    received.set("X-Hop", "1");
+    received.set("X-Kept", "2");
+    received.set(http::field::accept_encoding, "gzip");
+    received.body() = "body";
+    received.prepare_payload();
+    return received;
+}
+
+// Guards against fields of one connection that travel on, and against two deadlines.
+TEST(forwarded_message_test, only_end_to_end_fields_are_passed_on)
+{
+    base::error reason;
+    const auto message = forwarded_message::create(make_received(), reason);
+    ASSERT_TRUE(message) << reason.message;
+    EXPECT_EQ(message->deadline, 300ms);
+    forwarding::registration target;
+    target.id = "i-1";
+    const auto sent = make_replica_request(*message, target, 123ms);
+    const std::string text = *sent.shared_head + sent.own_head + *sent.body;
+    EXPECT_TRUE(text.starts_with("POST /a/b?c=d HTTP/1.1\r\n"));
+    EXPECT_EQ(text.find("X-Hop"), std::string::npos);
+    EXPECT_EQ(text.find("gzip"), std::string::npos);
+    EXPECT_EQ(text.find("300"), std::string::npos);
+    EXPECT_NE(text.find("X-Kept: 2\r\n"), std::string::npos);
+    EXPECT_NE(text.find("Content-Length: 4\r\n"), std::string::npos);
+    EXPECT_TRUE(text.ends_with("Deadline-Ms: 123\r\nTarget-Instance: i-1\r\n\r\nbody"));
+}
+
+// Guards against requests that replicas would run under no id or under two.
+TEST(forwarded_message_test, missing_or_repeated_fields_are_refused)
+{
+    base::error reason;
+    http::request received = make_received();
+    received.erase("Request-Id");
+    EXPECT_FALSE(forwarded_message::create(received, reason));
+    received = make_received();
+    received.insert("Request-Id", "id-2");
+    EXPECT_FALSE(forwarded_message::create(received, reason));
+    received = make_received();
+    received.set("Deadline-Ms", "-5");
+    EXPECT_FALSE(forwarded_message::create(received, reason));
+    received = make_received();
+    received.erase(http::field::host);
+    EXPECT_FALSE(forwarded_message::create(received, reason));
+}
+
+class read_plan_test : public testing::Test
+{
+protected:
+    static std::vector<fleet_vm> make_fleet(unsigned count)
+    {
+        std::vector<fleet_vm> result;
+        for (unsigned index = 0; index < count; ++index)
+            result.push_back({{"vm" + std::to_string(index), "zone" + std::to_string(index % 3)},
+                              "10.0.0." + std::to_string(1 + index) + ":7380"});
+        return result;
+    }
+
+    const http::tcp::endpoint m_store{http::asio::ip::make_address("10.200.0.1"), 8102};
+};
+
+// Guards against calls to the store that grow with the number of VMs.
+TEST_F(read_plan_test, two_vms_of_each_data_centre_read_the_store_in_a_large_fleet)
+{
+    for (const unsigned count : {30U, 82U, 200U})
+    {
+        const auto fleet = make_fleet(count);
+        const auto direct =
+            std::count_if(fleet.begin(), fleet.end(),
+                          [&](const fleet_vm& vm)
+                          { return !plan_reads(m_store, vm.place.name, fleet).front().is_relay; });
+        EXPECT_EQ(direct, 6);
+    }
+}
+
+// Guards against a detour where it saves little, and against a VM that nothing is left for.
+TEST_F(read_plan_test, store_comes_first_in_a_small_fleet_and_is_always_there)
+{
+    for (const unsigned count : {1U, 9U, 82U})
+    {
+        const auto fleet = make_fleet(count);
+        for (const fleet_vm& vm : fleet)
+        {
+            const auto sources = plan_reads(m_store, vm.place.name, fleet);
+            const auto own_address = vm.relay_address;
+            EXPECT_EQ(std::count_if(sources.begin(), sources.end(),
+                                    [](const read_source& each) { return !each.is_relay; }),
+                      1);
+            for (const read_source& each : sources)
+                EXPECT_NE(each.address.address().to_string() + ":7380", own_address);
+            EXPECT_TRUE(count > most_direct_readers || !sources.front().is_relay);
+        }
+    }
+}
+
+} // namespace
+} // namespace ospreystair::platform
