--- a/source/forwarding/repeat_budget.hpp
+++ b/source/forwarding/repeat_budget.hpp
@@ -58,8 +58,6 @@
         ++m_repeat_total;
     }
 
-    std::uint32_t repeats() const { return m_repeat_total; }
-
 private:
     static constexpr std::size_t slot_count = 20;
 
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -353,7 +353,7 @@
         const base::time_point now = m_dispatcher.now();
         // A part alone does not wait for the others on this VM's link.
         const bool is_too_late = now + m_usual.typical / 2 > m_answer_at && m_route.is_gather() &&
-                                 answered_parts() >= needed_parts();
+                                 m_answered >= needed_parts();
         if (is_too_late || now + m_usual.typical > m_budget.end())
             return m_dispatcher.note_no_hedge(*this, item.service, "too little time is left");
         const auto choice = m_dispatcher.choose(item.service, item.asked, m_usual);
@@ -441,8 +441,6 @@
         item.hedge_at.reset();
     }
 
-    std::size_t answered_parts() const { return m_answered; }
-
     // Answers when all is in, when the objective is reached with enough parts, when enough parts
     // cannot come any more, or when the time is over.
     void settle()
--- a/source/http/exchange_link.hpp
+++ b/source/http/exchange_link.hpp
@@ -72,7 +72,6 @@
     void close();
 
     bool is_open() const { return m_state == state::open; }
-    bool is_closed() const { return m_state == state::closed; }
     bool is_free() const { return m_state != state::closed && !m_on_result; }
 
 private:
--- a/source/observe/json_log.hpp
+++ b/source/observe/json_log.hpp
@@ -73,7 +73,6 @@
     /// Hands pending lines to the output as far as it takes them at once.
     void flush();
 
-    bool has_pending() const { return !m_pending.empty(); }
     std::uint64_t dropped() const { return m_dropped_total; }
 
 private:
