Tests: Run the platform's program under seeded faults and audit its promises

Cause: the soak covered the project's own processes only; for ospreystair-gateway nothing played kills, stops, freezes, store faults, broken replicas and configuration changes together.

Change: gateway_run and scripts/soak reuse the schedules of tests/chaos. gateway_system turns a schedule into signals to three gateways and into behaviour of the stand-ins; gateway_callers sends gathered, single and unrepeatable requests on new and kept connections, some of which it leaves early, behind a balancer like the users'; gateway_audit checks whole answers with receipts of this request, one configuration's shards, configurations in time and never reverting, at most once, true refusals, draining in time, no work for callers that left, and repeats in every window of their budget. Bounds of time are those of the settings and hold for calm spans; a run prints how many such checks it has made. Replica stand-ins put the request id into their receipts. Command line, play and report are shared with chaos_run.

Ruled out: a schedule as dense as the one of chaos_run; no span of it is calm for four seconds.

--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -171,6 +171,12 @@
     one->socket.close(ignored);
 }
 
+std::map<std::string, std::chrono::steady_clock::time_point> replica_standin::work_ends() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_work_ends;
+}
+
 replica_behaviour replica_standin::note_arrival(const http::request& message)
 {
     const std::scoped_lock lock(m_mutex);
@@ -202,7 +208,8 @@
     if (how.refuses || status == misdirected)
         text += "Not-Executed: 1\r\n";
     else
-        text += fmt::format("Response-Stamp: {}.{}\r\n", m_id, ++m_receipts);
+        text += fmt::format("Response-Stamp: {}.{}.{}\r\n", m_id, ++m_receipts,
+                            std::string(message["Request-Id"]));
     if (how.closes || how.is_unframed)
         text += "Connection: close\r\n";
     const std::string& body = status < first_redirect ? how.body : "failure";
@@ -221,6 +228,21 @@
     if (code)
         co_return false;
     const http::request message = parser.release();
+    const bool can_continue = co_await work(one, message);
+    note_end(message);
+    co_return can_continue;
+}
+
+void replica_standin::note_end(const http::request& message)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_work_ends[std::string(message["Request-Id"])] = std::chrono::steady_clock::now();
+}
+
+http::awaitable<bool> replica_standin::work(std::shared_ptr<session> one,
+                                            const http::request& message)
+{
+    boost::system::error_code code;
     const replica_behaviour how = note_arrival(message);
     if (how.latency.count() > 0)
     {
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -77,6 +77,8 @@
     std::size_t open_connections() const;
     std::vector<std::chrono::milliseconds> deadlines() const;
     std::vector<std::chrono::steady_clock::time_point> arrival_times() const;
+    /// When it was last at work on a request, by request id; requests at work now are missing.
+    std::map<std::string, std::chrono::steady_clock::time_point> work_ends() const;
 
 private:
     struct session;
@@ -88,6 +90,8 @@
     http::awaitable<bool> serve_one(std::shared_ptr<session> one);
     http::awaitable<bool> send(std::shared_ptr<session> one, std::string text);
     replica_behaviour note_arrival(const http::request& message);
+    void note_end(const http::request& message);
+    http::awaitable<bool> work(std::shared_ptr<session> one, const http::request& message);
     std::string compose(const http::request& message, const replica_behaviour& how);
 
     http::asio::io_context& m_context;
@@ -104,6 +108,7 @@
     std::uint64_t m_receipts = 0;
     std::vector<std::chrono::milliseconds> m_deadlines;
     std::vector<std::chrono::steady_clock::time_point> m_arrival_times;
+    std::map<std::string, std::chrono::steady_clock::time_point> m_work_ends;
 };
 
 } // namespace ospreystair::standins
--- a/tests/chaos/chaos_run.cpp
+++ b/tests/chaos/chaos_run.cpp
@@ -1,17 +1,14 @@
 // Runs a small system under callers and a seeded schedule of faults, and checks the guarantees. The
 // seed determines the schedule; the interleaving with the callers differs from run to run.
 
-#include <algorithm>
 #include <cstdio>
-#include <iostream>
-#include <thread>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 
-#include "settings/option_table.hpp"
 #include "tests/chaos/caller_load.hpp"
 #include "tests/chaos/chaos_system.hpp"
+#include "tests/chaos/run_support.hpp"
 
 namespace ospreystair::chaos
 {
@@ -22,95 +19,6 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t max_keys_repeated = 60;
-constexpr std::size_t max_violations_printed = 5;
-
-struct run_settings
-{
-    std::uint64_t seed = 0;
-    milliseconds duration{0};
-};
-
-std::optional<run_settings> read_settings(int argc, const char** argv, base::error& reason)
-{
-    const std::vector<settings::option> options{
-        {"seed", "Seed of the schedule", "1"},
-        {"minutes", "Length of the run in minutes", "0"},
-        {"seconds", "Length of the run in seconds, added to the minutes", "0"}};
-    const auto table = settings::option_table::create(
-        "chaos_run", "Checks the guarantees under a seeded schedule of faults.", options, argc,
-        argv, reason);
-    if (!table)
-        return std::nullopt;
-    const auto seed = table->number("seed", 0, UINT64_MAX, reason);
-    const auto minutes = table->number("minutes", 0, 600, reason);
-    const auto seconds = table->number("seconds", 0, 36'000, reason);
-    if (!seed || !minutes || !seconds)
-        return std::nullopt;
-    milliseconds duration = std::chrono::minutes(static_cast<std::int64_t>(*minutes)) +
-                            std::chrono::seconds(static_cast<std::int64_t>(*seconds));
-    if (duration.count() == 0)
-        duration = std::chrono::minutes{1};
-    return run_settings{*seed, duration};
-}
-
-// Begins and ends each fault at its time.
-void play(chaos_system& system, const std::vector<scheduled_fault>& schedule, milliseconds duration)
-{
-    struct step
-    {
-        milliseconds when;
-        const scheduled_fault* fault;
-        bool is_end;
-    };
-    std::vector<step> steps;
-    for (const scheduled_fault& fault : schedule)
-    {
-        steps.push_back({fault.start, &fault, false});
-        steps.push_back({fault.end(), &fault, true});
-    }
-    std::stable_sort(steps.begin(), steps.end(),
-                     [](const step& left, const step& right) { return left.when < right.when; });
-    const auto start = std::chrono::steady_clock::now();
-    for (const step& item : steps)
-    {
-        std::this_thread::sleep_until(start + item.when);
-        if (item.is_end)
-            system.lift(*item.fault);
-        else
-            system.apply(*item.fault);
-    }
-    std::this_thread::sleep_until(start + duration);
-}
-
-/// Prints one line for each invariant and counts them.
-class report
-{
-public:
-    explicit report(std::uint64_t seed) : m_seed(seed) {}
-
-    void add(const std::string& invariant, const std::vector<std::string>& violations)
-    {
-        ++(violations.empty() ? m_passed : m_failed);
-        fmt::print("{} {}\n", violations.empty() ? "pass" : "FAIL", invariant);
-        for (std::size_t index = 0; index < std::min(violations.size(), max_violations_printed);
-             ++index)
-            fmt::print("     {}\n", violations[index]);
-        if (violations.size() > max_violations_printed)
-            fmt::print("     and {} more\n", violations.size() - max_violations_printed);
-    }
-
-    bool finish() const
-    {
-        fmt::print("seed {}: {} passed, {} failed\n", m_seed, m_passed, m_failed);
-        std::fflush(stdout);
-        return m_failed == 0;
-    }
-
-private:
-    const std::uint64_t m_seed;
-    int m_passed = 0;
-    int m_failed = 0;
-};
 
 std::map<std::string, int> count_executions(const Json::Value& counts)
 {
@@ -202,11 +110,7 @@
     observations seen;
     chaos_system system(seen);
     const auto schedule = make_schedule(settings.seed, settings.duration, system.shape());
-    fmt::print("seed {}, {} ms, {} faults\n", settings.seed, settings.duration.count(),
-               schedule.size());
-    for (const scheduled_fault& fault : schedule)
-        fmt::print("  {}\n", to_text(fault));
-    std::fflush(stdout);
+    print_schedule(settings, schedule);
     std::vector<vm_ports> ports;
     for (std::size_t index = 0; index < system.cluster().vm_count(); ++index)
         ports.push_back(
@@ -251,7 +155,9 @@
 {
     using namespace ospreystair;
     base::error reason;
-    const auto settings = chaos::read_settings(argc, argv, reason);
+    const auto settings = chaos::read_settings(
+        "chaos_run", "Checks the guarantees under a seeded schedule of faults.", argc, argv,
+        reason);
     if (!settings)
     {
         fmt::print(stderr, "error {}: {}\n", base::to_string(reason.kind), reason.message);
--- a/tests/chaos/fault_schedule.cpp
+++ b/tests/chaos/fault_schedule.cpp
@@ -108,7 +108,8 @@
     {
         place_drains();
         place_races();
-        for (milliseconds now = quiet_start; now < m_duration; now += between(min_gap, max_gap))
+        for (milliseconds now = quiet_start; now < m_duration;
+             now += m_shape.pause_factor * between(min_gap, max_gap))
         {
             draw(now);
             // Some faults come together, and some of these twice.
--- a/tests/chaos/fault_schedule.hpp
+++ b/tests/chaos/fault_schedule.hpp
@@ -50,6 +50,9 @@
 {
     std::size_t vms = 4;
     std::size_t replicas = 8;
+    /// Factor of the pauses between faults. Bounds of time are checked in calm spans only, which a
+    /// dense schedule does not have.
+    int pause_factor = 1;
 };
 
 /// Returns the faults in the order of their starts. The same arguments give the same schedule.
--- /dev/null
+++ b/tests/chaos/gateway_callers.hpp
@@ -0,0 +1,45 @@
+// Callers of the platform's program, and the balancer that spreads them over its VMs.
+
+#ifndef OSPREYSTAIR_TESTS_CHAOS_GATEWAY_CALLERS_HPP
+#define OSPREYSTAIR_TESTS_CHAOS_GATEWAY_CALLERS_HPP
+
+#include <array>
+#include <atomic>
+#include <thread>
+#include <vector>
+
+#include "base/random.hpp"
+#include "tests/chaos/gateway_audit.hpp"
+#include "tests/chaos/gateway_system.hpp"
+
+namespace ospreystair::chaos
+{
+
+/// Sends requests from several threads until it is stopped. Like the users' balancer, it asks each
+/// VM once a second whether it is ready, and sends nothing to one that was not, twice.
+class gateway_callers
+{
+public:
+    gateway_callers(gateway_audit& audit, gateway_system& system, std::uint64_t seed);
+    ~gateway_callers();
+    gateway_callers(const gateway_callers&) = delete;
+    gateway_callers& operator=(const gateway_callers&) = delete;
+
+    void stop();
+
+private:
+    void run_requests(std::uint64_t thread_number);
+    void run_balancer();
+    std::size_t choose_vm(base::seeded_random& random) const;
+
+    gateway_audit& m_audit;
+    gateway_system& m_system;
+    const std::uint64_t m_seed;
+    std::array<std::atomic<int>, gateway_system::vm_count> m_misses{};
+    std::atomic<bool> m_is_stopped{false};
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace ospreystair::chaos
+
+#endif
--- /dev/null
+++ b/tests/chaos/gateway_run.cpp
@@ -0,0 +1,106 @@
+// Runs the platform's program under callers and a seeded schedule of faults, and checks what it
+// promises. The seed determines the schedule; the interleaving differs from run to run.
+
+#include <algorithm>
+#include <cstdio>
+#include <map>
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "tests/chaos/gateway_callers.hpp"
+#include "tests/chaos/gateway_system.hpp"
+#include "tests/chaos/run_support.hpp"
+
+namespace ospreystair::chaos
+{
+
+namespace
+{
+
+constexpr const char* promises[] = {"answers are whole and their own",
+                                    "parts and missing parts are one configuration's shards",
+                                    "configurations are in force in time",
+                                    "configurations never revert",
+                                    "proper requests are not denied",
+                                    "every request is answered",
+                                    "processes end when they are told to",
+                                    "draining replicas get no late request",
+                                    "at most once",
+                                    "refused requests have not run",
+                                    "only callers' requests run",
+                                    "no work for callers that left",
+                                    "repeats stay within their budget"};
+
+std::string service_of(const std::string& replica)
+{
+    return replica.substr(0, replica.rfind('-'));
+}
+
+void check_replicas(gateway_audit& audit, testing_support::platform_fleet& fleet)
+{
+    std::map<std::string, unsigned> executions;
+    std::map<std::string, std::vector<disturbance_log::time_point>> arrivals;
+    std::map<std::string, disturbance_log::time_point> work_ends;
+    for (const auto& [id, target] : fleet.replicas())
+    {
+        for (const auto& [request, count] : target->executions())
+            executions[request] += count;
+        for (const auto& [request, at] : target->work_ends())
+            work_ends[request] = std::max(work_ends[request], at);
+        const auto times = target->arrival_times();
+        auto& of_service = arrivals[service_of(id)];
+        of_service.insert(of_service.end(), times.begin(), times.end());
+    }
+    audit.check_executions(executions);
+    audit.check_departures(work_ends);
+    for (const auto& [service, times] : arrivals)
+        audit.check_repeats(service, times);
+}
+
+bool run(const run_settings& settings)
+{
+    disturbance_log disturbances;
+    gateway_audit audit(disturbances);
+    gateway_system system(audit, disturbances);
+    const auto schedule = make_schedule(settings.seed, settings.duration, system.shape());
+    print_schedule(settings, schedule);
+    gateway_callers callers(audit, system, settings.seed);
+    play(system, schedule, settings.duration);
+    system.lift_all();
+    callers.stop();
+    check_replicas(audit, system.fleet());
+    const bool is_recovered = system.wait_until_recovered();
+
+    fmt::print("{}\n", audit.summary());
+    report results(settings.seed);
+    results.add("recovered", is_recovered ? std::vector<std::string>()
+                                          : std::vector<std::string>{"a VM is not ready, or does "
+                                                                     "not answer in full"});
+    for (const char* const promise : promises)
+        results.add(promise, audit.violations(promise));
+    const bool is_passed = results.finish();
+    // The fleet keeps its logs when a test failed.
+    if (!is_passed)
+        ADD_FAILURE() << "seed " << settings.seed;
+    return is_passed && !testing::Test::HasFailure();
+}
+
+} // namespace
+
+} // namespace ospreystair::chaos
+
+int main(int argc, const char** argv)
+{
+    using namespace ospreystair;
+    base::error reason;
+    const auto settings = chaos::read_settings(
+        "gateway_run", "Checks the platform's program under a seeded schedule of faults.", argc,
+        argv, reason);
+    if (!settings)
+    {
+        fmt::print(stderr, "error {}: {}\n", base::to_string(reason.kind), reason.message);
+        return 2;
+    }
+    return chaos::run(*settings) ? 0 : 1;
+}
--- /dev/null
+++ b/tests/chaos/gateway_system.cpp
@@ -0,0 +1,352 @@
+// Faults as signals to the gateways and as behaviour of the stand-ins.
+
+#include "tests/chaos/gateway_system.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <fmt/format.h>
+
+#include "tests/integration/test_client.hpp"
+
+namespace ospreystair::chaos
+{
+
+using standins::replica_behaviour;
+using standins::store_mode;
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+namespace
+{
+
+constexpr milliseconds stop_limit{10'000};
+constexpr milliseconds recovery_limit{20'000};
+constexpr milliseconds slow_reply{300};
+constexpr std::uint64_t store_delay_ms = 300;
+
+} // namespace
+
+testing_support::fleet_plan gateway_system::make_plan()
+{
+    testing_support::fleet_plan plan;
+    plan.vms = vm_count;
+    plan.shards = shard_count;
+    plan.replicas = replica_count;
+    return plan;
+}
+
+gateway_system::gateway_system(gateway_audit& audit, disturbance_log& disturbances)
+    : m_audit(audit), m_disturbances(disturbances), m_fleet(make_plan())
+{
+    std::vector<std::string> shards;
+    for (const Json::Value& shard : m_fleet.configuration()["routes"][0]["gather"])
+        shards.push_back(shard.asString());
+    m_audit.add_generation(std::move(shards), steady_clock::now());
+    for (const auto& [id, ignored] : m_fleet.replicas())
+        m_replicas.push_back(id);
+}
+
+gateway_system::~gateway_system()
+{
+    for (vm_state& item : m_vms)
+        if (item.restarter.joinable())
+            item.restarter.join();
+}
+
+void gateway_system::apply(const scheduled_fault& fault)
+{
+    switch (fault.kind)
+    {
+    case fault_kind::kill_entry:
+    case fault_kind::kill_agent:
+    case fault_kind::freeze_entry:
+    case fault_kind::freeze_agent:
+        return hold_vm(fault);
+    case fault_kind::cut_route:
+        return m_fleet.change_replica(choose_replica(fault),
+                                      [](replica_behaviour& how) { how.is_mute = true; });
+    case fault_kind::delay_route:
+        return m_fleet.change_replica(choose_replica(fault),
+                                      [](replica_behaviour& how) { how.latency = slow_reply; });
+    case fault_kind::upstream_fault:
+        return break_replica(choose_replica(fault), fault.variant);
+    case fault_kind::platform_outage:
+    case fault_kind::slow_platform:
+    case fault_kind::lose_write_answers:
+        return change_store(fault);
+    case fault_kind::publish_index:
+        return publish_route();
+    case fault_kind::repartition:
+        return add_index();
+    case fault_kind::drain_upstream:
+        return drain(choose_replica(fault));
+    case fault_kind::race_operators:
+        publish_route();
+        return publish_route();
+    }
+}
+
+void gateway_system::lift(const scheduled_fault& fault)
+{
+    switch (fault.kind)
+    {
+    case fault_kind::kill_entry:
+    case fault_kind::kill_agent:
+    case fault_kind::freeze_entry:
+    case fault_kind::freeze_agent:
+        return release_vm(fault);
+    case fault_kind::cut_route:
+        return m_fleet.change_replica(find_hit(fault),
+                                      [](replica_behaviour& how) { how.is_mute = false; });
+    case fault_kind::delay_route:
+        return m_fleet.change_replica(find_hit(fault), [](replica_behaviour& how)
+                                      { how.latency = replica_behaviour{}.latency; });
+    case fault_kind::upstream_fault:
+        return m_fleet.change_replica(find_hit(fault),
+                                      [](replica_behaviour& how)
+                                      {
+                                          replica_behaviour whole;
+                                          whole.body = how.body;
+                                          whole.is_mute = how.is_mute;
+                                          whole.latency = how.latency;
+                                          how = whole;
+                                      });
+    case fault_kind::platform_outage:
+    case fault_kind::slow_platform:
+    case fault_kind::lose_write_answers:
+        return restore_store(fault);
+    case fault_kind::repartition:
+        return publish_index();
+    case fault_kind::drain_upstream:
+        return check_drain(find_hit(fault));
+    case fault_kind::publish_index:
+    case fault_kind::race_operators:
+        return;
+    }
+}
+
+const std::string& gateway_system::choose_replica(const scheduled_fault& fault)
+{
+    return m_hit[{fault.kind, fault.target}] = m_replicas.at(fault.target);
+}
+
+void gateway_system::hold_vm(const scheduled_fault& fault)
+{
+    vm_state& item = m_vms.at(fault.target);
+    // A planned stop or an earlier fault still holds it.
+    if (item.is_held.exchange(true))
+        return;
+    const bool is_stop = fault.kind == fault_kind::kill_agent;
+    m_disturbances.begin(is_stop ? stop_part(fault.target) : vm_part(fault.target),
+                         steady_clock::now());
+    testing_support::child_process& process = *m_fleet.vm(fault.target).process;
+    if (fault.kind == fault_kind::kill_entry)
+        process.kill();
+    else if (is_stop)
+        process.terminate();
+    else
+        process.freeze();
+    if (!is_stop)
+        return;
+    if (item.restarter.joinable())
+        item.restarter.join();
+    item.restarter = std::thread(
+        [this, vm = fault.target]
+        {
+            const auto status = m_fleet.vm(vm).process->wait(stop_limit);
+            if (status != 0)
+                m_audit.add_violation("processes end when they are told to",
+                                      fmt::format("vm {} ended with status {}", vm,
+                                                  status ? std::to_string(*status) : "none"));
+            restart(vm);
+        });
+}
+
+void gateway_system::release_vm(const scheduled_fault& fault)
+{
+    vm_state& item = m_vms.at(fault.target);
+    if (!item.is_held.load() || fault.kind == fault_kind::kill_agent)
+        return;
+    if (item.restarter.joinable())
+        item.restarter.join();
+    if (!item.is_held.load())
+        return;
+    if (fault.kind == fault_kind::kill_entry)
+        return restart(fault.target);
+    m_fleet.vm(fault.target).process->resume();
+    m_disturbances.end(vm_part(fault.target), steady_clock::now());
+    item.is_held.store(false);
+}
+
+void gateway_system::restart(std::size_t vm)
+{
+    m_vms.at(vm).incarnation.fetch_add(1);
+    m_fleet.start(vm);
+    m_disturbances.end(vm_part(vm), steady_clock::now());
+    m_disturbances.end(stop_part(vm), steady_clock::now());
+    m_vms.at(vm).is_held.store(false);
+}
+
+void gateway_system::change_store(const scheduled_fault& fault)
+{
+    m_disturbances.begin(store_part, steady_clock::now());
+    if (fault.kind == fault_kind::slow_platform)
+        return m_fleet.store().set_delay(
+            milliseconds{store_delay_ms + fault.variant % store_delay_ms});
+    if (fault.kind == fault_kind::lose_write_answers)
+        return m_fleet.store().set_losing_answers(true);
+    constexpr std::array modes{store_mode::refusing, store_mode::silent, store_mode::limiting};
+    m_fleet.store().set_mode(modes.at(fault.variant % modes.size()));
+    m_fleet.store().cut_connections();
+}
+
+void gateway_system::restore_store(const scheduled_fault& fault)
+{
+    if (fault.kind == fault_kind::slow_platform)
+        m_fleet.store().set_delay(milliseconds{0});
+    else if (fault.kind == fault_kind::lose_write_answers)
+        m_fleet.store().set_losing_answers(false);
+    else
+    {
+        // A store that was away may have forgotten its history.
+        if (fault.variant % 2 == 0)
+            m_fleet.store().drop_history();
+        m_fleet.store().set_mode(store_mode::serving);
+    }
+    m_disturbances.end(store_part, steady_clock::now());
+}
+
+void gateway_system::break_replica(const std::string& id, std::uint64_t variant)
+{
+    constexpr std::array<bool replica_behaviour::*, 7> faults{
+        &replica_behaviour::refuses,    &replica_behaviour::loses_answers,
+        &replica_behaviour::truncates,  &replica_behaviour::repeats_answers,
+        &replica_behaviour::adds_noise, &replica_behaviour::is_unframed,
+        &replica_behaviour::closes};
+    constexpr unsigned internal_error = 500;
+    m_fleet.change_replica(id,
+                           [&](replica_behaviour& how)
+                           {
+                               const std::size_t index = variant % (faults.size() + 1);
+                               if (index == faults.size())
+                                   how.status = internal_error;
+                               else
+                                   how.*faults.at(index) = true;
+                           });
+}
+
+void gateway_system::drain(const std::string& id)
+{
+    m_fleet.register_replica(id, "draining");
+    m_drained_at = steady_clock::now();
+}
+
+void gateway_system::check_drain(const std::string& id)
+{
+    const auto now = steady_clock::now();
+    const auto due = m_drained_at + gateway_audit::drain_bound;
+    std::size_t late = 0;
+    for (const auto& arrived_at : m_fleet.replica(id).arrival_times())
+        late += arrived_at > due ? 1 : 0;
+    const bool is_calm =
+        m_disturbances.is_calm(store_part, m_drained_at - gateway_audit::stable_window, now);
+    bool are_vms_calm = true;
+    for (std::size_t vm = 0; vm < vm_count; ++vm)
+        are_vms_calm =
+            are_vms_calm &&
+            m_disturbances.is_calm(vm_part(vm), m_drained_at - gateway_audit::stable_window, now);
+    if (is_calm && are_vms_calm)
+        m_audit.count_check("drains");
+    if (late > 0 && is_calm && are_vms_calm)
+        m_audit.add_violation("draining replicas get no late request",
+                              fmt::format("{} requests at {}", late, id));
+    m_fleet.register_replica(id, "ready");
+}
+
+// The new shards' replicas start before a configuration names them.
+void gateway_system::add_index()
+{
+    ++m_generation;
+    for (std::size_t shard = 0; shard < shard_count; ++shard)
+        for (std::size_t index = 0; index < replica_count; ++index)
+            m_fleet.add_replica(fmt::format("index{}x{}", m_generation, shard), index);
+}
+
+void gateway_system::publish_index()
+{
+    std::vector<std::string> shards;
+    // The single service's replicas stay; the others become those of the new shards.
+    std::erase_if(m_replicas, [](const std::string& id) { return !id.starts_with("single-"); });
+    Json::Value& gather = m_fleet.configuration()["routes"][0]["gather"];
+    gather = Json::arrayValue;
+    for (std::size_t shard = 0; shard < shard_count; ++shard)
+    {
+        shards.push_back(fmt::format("index{}x{}", m_generation, shard));
+        gather.append(shards.back());
+        for (std::size_t index = 0; index < replica_count; ++index)
+            m_replicas.push_back(fmt::format("{}-{}", shards.back(), index));
+    }
+    // Declared before it is published: a VM may use it before the store's answer is here.
+    m_audit.add_generation(std::move(shards), steady_clock::now());
+    m_fleet.publish();
+}
+
+void gateway_system::publish_route()
+{
+    const std::string name = fmt::format("more{}", ++m_route);
+    Json::Value& routes = m_fleet.configuration()["routes"];
+    constexpr Json::ArrayIndex most_routes = 8;
+    if (routes.size() >= most_routes)
+        routes.resize(3);
+    routes.append(testing_support::platform_fleet::make_route(name, "/" + name + "/"));
+    m_fleet.publish();
+}
+
+void gateway_system::lift_all()
+{
+    for (std::size_t vm = 0; vm < vm_count; ++vm)
+    {
+        vm_state& item = m_vms.at(vm);
+        if (item.restarter.joinable())
+            item.restarter.join();
+        if (!item.is_held.load())
+            continue;
+        if (m_fleet.vm(vm).process->is_running())
+            m_fleet.vm(vm).process->resume();
+        else
+            restart(vm);
+    }
+    m_fleet.store().set_mode(store_mode::serving);
+    m_fleet.store().set_delay(milliseconds{0});
+    m_fleet.store().set_losing_answers(false);
+    m_fleet.change_all_replicas(
+        [](replica_behaviour& how)
+        {
+            replica_behaviour whole;
+            whole.body = how.body;
+            how = whole;
+        });
+    for (const auto& [fault, id] : m_hit)
+        m_fleet.register_replica(id, "ready");
+}
+
+bool gateway_system::wait_until_recovered()
+{
+    constexpr unsigned ok = 200;
+    const auto is_whole = [this](std::size_t vm)
+    {
+        testing_support::caller_message message;
+        message.id = fmt::format("after-{}", vm);
+        const auto answer = m_fleet.send(vm, std::move(message));
+        return answer.status == ok && answer.receipts().size() == shard_count;
+    };
+    for (std::size_t vm = 0; vm < vm_count; ++vm)
+        if (!testing_support::wait_until(recovery_limit, [&]
+                                         { return m_fleet.readiness(vm) == ok && is_whole(vm); }))
+            return false;
+    return true;
+}
+
+} // namespace ospreystair::chaos
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -24,8 +24,6 @@
 
 constexpr milliseconds start_limit{10'000};
 constexpr milliseconds call_limit{2'000};
-// Callers wait a little beyond the deadline that they send.
-constexpr milliseconds caller_patience{1'000};
 
 // An address of this process's own, so that tests that run beside each other do not meet.
 std::string make_ip(std::size_t index)
@@ -265,6 +263,26 @@
 namespace
 {
 
+caller_answer describe(const std::optional<http::response>& reply, http::exchange_progress progress,
+                       const base::error& reason)
+{
+    caller_answer result;
+    result.reason = reason.message;
+    result.is_sent = progress != http::exchange_progress::nothing_sent;
+    if (!reply)
+        return result;
+    result.status = reply->result_int();
+    result.body = reply->body();
+    for (const auto& item : *reply)
+        result.fields[std::string(item.name_string())] = std::string(item.value());
+    return result;
+}
+
+milliseconds time_since(std::chrono::steady_clock::time_point start)
+{
+    return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+}
+
 // Runs one exchange on a connection of its own.
 caller_answer exchange(const http::tcp::endpoint& address, http::request message,
                        milliseconds limit)
@@ -278,20 +296,13 @@
         {
             http::exchange_progress progress{};
             base::error reason;
-            auto reply = co_await http::exchange_once(context, address, std::move(message),
-                                                      start + limit, progress, reason);
-            result.reason = reason.message;
-            if (!reply)
-                co_return;
-            result.status = reply->result_int();
-            result.body = reply->body();
-            for (const auto& item : *reply)
-                result.fields[std::string(item.name_string())] = std::string(item.value());
+            const auto reply = co_await http::exchange_once(context, address, std::move(message),
+                                                            start + limit, progress, reason);
+            result = describe(reply, progress, reason);
         },
         http::asio::detached);
     context.run();
-    result.elapsed =
-        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - start);
+    result.elapsed = time_since(start);
     return result;
 }
 
@@ -313,6 +324,42 @@
 
 } // namespace
 
+kept_connection::~kept_connection()
+{
+    if (m_connection)
+        m_connection->close();
+    m_context.restart();
+    m_context.run();
+}
+
+caller_answer kept_connection::send(const caller_message& message)
+{
+    const auto start = std::chrono::steady_clock::now();
+    const auto end = start + message.deadline + message.patience;
+    caller_answer result;
+    const auto request = std::make_shared<const http::request>(make_request(message));
+    http::asio::co_spawn(
+        m_context,
+        [&]() -> http::awaitable<void>
+        {
+            base::error reason;
+            if (!is_open())
+                m_connection =
+                    (co_await http::client_connection::connect(m_context, m_address, end, reason))
+                        .value_or(nullptr);
+            http::exchange_progress progress{};
+            std::optional<http::response> reply;
+            if (m_connection)
+                reply = co_await m_connection->exchange(request, end, progress, reason);
+            result = describe(reply, progress, reason);
+        },
+        http::asio::detached);
+    m_context.restart();
+    m_context.run();
+    result.elapsed = time_since(start);
+    return result;
+}
+
 unsigned platform_fleet::readiness(std::size_t vm)
 {
     http::request message(http::verb::get, "/v1/ready", 11);
@@ -332,7 +379,7 @@
     if (message.id.empty())
         message.id = make_id();
     return exchange(endpoint_of(vm, caller_port), make_request(message),
-                    message.deadline + caller_patience);
+                    message.deadline + message.patience);
 }
 
 std::string platform_fleet::make_id()
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -33,6 +33,8 @@
     std::string body = {};
     std::chrono::milliseconds deadline{1000};
     std::map<std::string, std::string> fields = {};
+    /// Closes the connection this long after the deadline; negative to leave before it.
+    std::chrono::milliseconds patience{1000};
 };
 
 /// An answer; status 0 when none came.
@@ -42,12 +44,34 @@
     std::string body;
     std::map<std::string, std::string> fields;
     std::chrono::milliseconds elapsed{0};
+    /// Whether bytes of the request were handed to the network.
+    bool is_sent = false;
     std::string reason;
 
     std::vector<std::string> receipts() const;
     int missing_parts() const;
 };
 
+/// A caller's connection that carries one request after the other. Not thread-safe.
+class kept_connection
+{
+public:
+    explicit kept_connection(http::tcp::endpoint address) : m_address(std::move(address)) {}
+    ~kept_connection();
+    kept_connection(const kept_connection&) = delete;
+    kept_connection& operator=(const kept_connection&) = delete;
+
+    /// Connects first when there is no open connection.
+    caller_answer send(const caller_message& message);
+    /// Whether the next request goes on a connection that has carried one before.
+    bool is_open() const { return m_connection && m_connection->is_open(); }
+
+private:
+    http::asio::io_context m_context;
+    const http::tcp::endpoint m_address;
+    std::shared_ptr<http::client_connection> m_connection;
+};
+
 /// One gateway process.
 struct gateway_vm
 {
@@ -111,6 +135,10 @@
     std::string metrics(std::size_t vm);
     /// Sends on a new connection.
     caller_answer send(std::size_t vm, caller_message message);
+    http::tcp::endpoint caller_address(std::size_t vm) const
+    {
+        return endpoint_of(vm, caller_port);
+    }
     std::string log(std::size_t vm) { return m_vms.at(vm).process->output_text(); }
     /// Sum of the executions of a request over all replicas.
     unsigned executions(const std::string& request_id) const;
