--- a/tests/gateway/gateway_path_test.cpp
+++ b/tests/gateway/gateway_path_test.cpp
@@ -170,6 +170,39 @@
     EXPECT_TRUE(m_fleet.replica("single-0").executions().empty());
 }
 
+// Guards against warnings about callers that left, which nobody can act on, and against attempts
+// for them that are kept.
+TEST_F(gateway_path_test, caller_that_leaves_stops_replicas_and_is_no_warning)
+{
+    m_fleet.change_all_replicas([](standins::replica_behaviour& how) { how.is_mute = true; });
+    caller_message message;
+    message.path = "/all/q";
+    message.id = "leaver";
+    message.patience = 50ms - message.deadline;
+    EXPECT_EQ(m_fleet.send(0, message).status, 0U);
+    const auto find_line = [this]
+    {
+        const std::string log = m_fleet.log(0);
+        const std::size_t end = log.find("abandoned");
+        return end == std::string::npos
+                   ? std::string()
+                   : log.substr(log.rfind('\n', end) + 1, end - log.rfind('\n', end));
+    };
+    ASSERT_TRUE(wait_until(2s, [&] { return !find_line().empty(); }));
+    EXPECT_NE(find_line().find("\"level\":\"info\""), std::string::npos) << find_line();
+    EXPECT_NE(find_line().find("leaver"), std::string::npos) << find_line();
+    std::uint64_t abandoned = 0;
+    EXPECT_TRUE(wait_until(500ms,
+                           [&]
+                           {
+                               abandoned = 0;
+                               for (const auto& [id, target] : m_fleet.replicas())
+                                   abandoned += target->abandoned();
+                               return abandoned == m_fleet.arrivals("shard");
+                           }))
+        << abandoned << " of " << m_fleet.arrivals("shard");
+}
+
 // Guards against metrics that a scraper cannot read, and counts that miss answers.
 TEST_F(gateway_path_test, metrics_count_answers)
 {
