Operators: Read the gateway's log lines in the time line, with what its VM went through

Cause: ospreystair-timeline read the lines of the project's own processes only, so a request on the users' platform was explained by grep over JSON lines.

Ruled out: a ring of recent events on the gateway's metrics port; memory is priced there, and the log already has every decision.

`ospreystairctl explain` still asks the project's own processes.

--- a/programs/timeline/main.cpp
+++ b/programs/timeline/main.cpp
@@ -20,6 +20,8 @@
 const std::vector<settings::option> options{
     {"from", "addresses (ip:port) of entries' operator ports and agents' control ports", ""},
     {"request", "only events of this request id", ""},
+    {"around-ms", "with --request: also what its VMs logged without a request, this long before it",
+     "0"},
     {"event", "only events of this name", ""},
     {"since", "only events from this time on: Unix time in ms, or 2026-12-03T20:40:46Z", "0"},
     {"format", "text or json", "text"},
@@ -54,8 +56,11 @@
     auto addresses = table->addresses("from", reason);
     const auto timeout = table->milliseconds("timeout-ms", std::chrono::milliseconds{1},
                                              std::chrono::milliseconds{600'000}, reason);
-    if (!addresses || !timeout)
+    const auto around = table->milliseconds("around-ms", std::chrono::milliseconds{0},
+                                            std::chrono::milliseconds{600'000}, reason);
+    if (!addresses || !timeout || !around)
         return std::nullopt;
+    result.filter.around = *around;
     result.addresses = std::move(*addresses);
     result.timeout = *timeout;
     result.files = table->arguments();
--- a/source/operators/timeline.cpp
+++ b/source/operators/timeline.cpp
@@ -5,11 +5,14 @@
 #include <algorithm>
 #include <charconv>
 #include <ctime>
+#include <map>
 #include <tuple>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
+#include "rpc/rpc_server.hpp"
+
 namespace ospreystair::operators
 {
 
@@ -69,6 +72,77 @@
            (filter.name.empty() || item.name == filter.name) && item.when.physical >= filter.since;
 }
 
+// By VM: the time from which and up to which its events belong to the request.
+using spans =
+    std::map<std::string, std::pair<std::chrono::milliseconds, std::chrono::milliseconds>>;
+
+spans find_spans(const std::vector<timeline_event>& events, const timeline_filter& filter)
+{
+    spans result;
+    if (filter.request_id.empty() || filter.around.count() == 0)
+        return result;
+    for (const timeline_event& item : events)
+    {
+        if (item.request_id != filter.request_id)
+            continue;
+        const auto time = item.when.physical;
+        const auto found = result.try_emplace(item.vm, time - filter.around, time).first;
+        found->second.first = std::min(found->second.first, time - filter.around);
+        found->second.second = std::max(found->second.second, time);
+    }
+    return result;
+}
+
+bool is_around(const timeline_event& item, const spans& known)
+{
+    const auto found = known.find(item.vm);
+    return found != known.end() && item.request_id.empty() &&
+           item.when.physical >= found->second.first && item.when.physical <= found->second.second;
+}
+
+std::string text_of(const Json::Value& value)
+{
+    if (value.isString())
+        return value.asString();
+    // Shortest form: the writer of JSON adds digits.
+    return value.type() == Json::realValue ? fmt::format("{}", value.asDouble())
+                                           : rpc::to_text(value);
+}
+
+// Reads a line of observe::json_log. It has no logical time: the line's number keeps the order of
+// one millisecond.
+std::optional<timeline_event> event_from_json_line(std::string_view line, std::uint64_t number)
+{
+    base::error ignored;
+    const auto document = rpc::parse_json(std::string(line), ignored);
+    if (!document || !document->isObject() || !(*document)["time_ms"].isInt64() ||
+        !(*document)["event"].isString())
+        return std::nullopt;
+    timeline_event result;
+    result.sequence = number;
+    result.process = "gateway";
+    result.when.physical = std::chrono::milliseconds{(*document)["time_ms"].asInt64()};
+    result.when.logical = static_cast<std::uint32_t>(number);
+    for (const std::string& name : document->getMemberNames())
+    {
+        const Json::Value& value = (*document)[name];
+        std::string text = text_of(value);
+        if (name == "level")
+            result.level = std::move(text);
+        else if (name == "event")
+            result.name = std::move(text);
+        else if (name == "vm")
+            result.vm = std::move(text);
+        else if (name == "data_centre")
+            result.data_centre = std::move(text);
+        else if (name == "request")
+            result.request_id = std::move(text);
+        else if (name != "time_ms")
+            result.fields.emplace_back(name, std::move(text));
+    }
+    return result;
+}
+
 // Throws Json::Exception when a member has another type.
 timeline_event event_from_json(const Json::Value& value)
 {
@@ -87,6 +161,10 @@
 
 std::optional<timeline_event> event_from_line(std::string_view line, std::uint64_t number)
 {
+    // A collector may have put its own words before it.
+    const std::size_t brace = line.find("{\"time_ms\":");
+    if (brace != std::string_view::npos)
+        return event_from_json_line(line.substr(brace), number);
     timeline_event result;
     result.sequence = number;
     while (!line.empty() && (line.back() == '\n' || line.back() == '\r'))
@@ -157,7 +235,9 @@
 
 std::vector<timeline_event> merge(std::vector<timeline_event> events, const timeline_filter& filter)
 {
-    std::erase_if(events, [&](const timeline_event& item) { return !is_kept(item, filter); });
+    const spans around = find_spans(events, filter);
+    std::erase_if(events, [&](const timeline_event& item)
+                  { return !is_kept(item, filter) && !is_around(item, around); });
     std::stable_sort(events.begin(), events.end(),
                      [](const timeline_event& left, const timeline_event& right)
                      {
--- a/source/operators/timeline.hpp
+++ b/source/operators/timeline.hpp
@@ -42,6 +42,9 @@
     std::string request_id;
     std::string name;
     std::chrono::milliseconds since{0};
+    /// With a request id: also events without a request, of the VMs that handled it, from this long
+    /// before its first event to its last one.
+    std::chrono::milliseconds around{0};
 };
 
 /// A source of events that did not answer.
@@ -51,7 +54,8 @@
     std::string reason;
 };
 
-/// Reads a line as observe::event_log writes it; empty for other lines, for example of a sanitizer.
+/// Reads a line as observe::event_log or observe::json_log writes it; empty for other lines, for
+/// example of a sanitizer.
 std::optional<timeline_event> event_from_line(std::string_view line, std::uint64_t number);
 
 /// Reads the document of `GET /events`. Fails with protocol.
--- a/tests/unit/operators_timeline_test.cpp
+++ b/tests/unit/operators_timeline_test.cpp
@@ -60,10 +60,53 @@
     EXPECT_EQ(merge({*from_line, from_ring->front()}, {}).size(), 1U);
 }
 
+// Guards against a time line that leaves out the program that logs in JSON, and against losing one
+// of two lines of the same millisecond.
+TEST_F(timeline_test, json_lines_give_events_in_their_order)
+{
+    const std::string first =
+        R"(  12.5 vm-1 {"time_ms":1796345875881,"level":"info","event":"hedge","vm":"vm-1",)"
+        R"("data_centre":"riga","request":"x7","service":"a","overdue_after_ms":7.1})";
+    const std::string second =
+        R"({"time_ms":1796345875881,"level":"warning","event":"hedge","vm":"vm-1",)"
+        R"("data_centre":"riga","request":"x7","service":"b"})";
+    const auto one = event_from_line(first, 1);
+    const auto other = event_from_line(second, 2);
+    ASSERT_TRUE(one && other);
+    EXPECT_EQ(one->vm, "vm-1");
+    EXPECT_EQ(one->data_centre, "riga");
+    EXPECT_EQ(one->request_id, "x7");
+    EXPECT_EQ(one->level, "info");
+    EXPECT_EQ(one->when.physical, std::chrono::milliseconds{1'796'345'875'881});
+    ASSERT_EQ(one->fields.size(), 2U);
+    EXPECT_EQ(one->fields[0], (std::pair<std::string, std::string>("overdue_after_ms", "7.1")));
+    const auto merged = merge({*other, *one}, {});
+    ASSERT_EQ(merged.size(), 2U);
+    EXPECT_EQ(merged.front().level, "info");
+    EXPECT_FALSE(event_from_line(R"({"event":"a"})", 1));
+    EXPECT_FALSE(event_from_line(R"({"time_ms":"soon","event":"a"})", 1));
+}
+
+// Guards against a request's time line without what its VM went through, and with what others did.
+TEST_F(timeline_test, events_around_a_request_are_those_of_its_vm)
+{
+    timeline_filter filter;
+    filter.request_id = "x";
+    filter.around = std::chrono::milliseconds{500};
+    const auto result =
+        merge({event(100, 0, "vm-1", "too_early"), event(600, 0, "vm-1", "cut_off"),
+               event(650, 0, "vm-2", "elsewhere"), event(700, 0, "vm-1", "other_request", "y"),
+               event(800, 0, "vm-1", "hedge", "x"), event(900, 0, "vm-1", "answer", "x"),
+               event(950, 0, "vm-1", "too_late")},
+              filter);
+    EXPECT_EQ(names(result), "cut_off hedge answer ");
+}
+
 // Guards against crashes on the standard error of other software.
 RC_GTEST_PROP(timeline_property, random_line_gives_an_event_or_nothing, (const std::string& bytes))
 {
     event_from_line(bytes, 1);
+    event_from_line("{\"time_ms\":1," + bytes, 1);
     event_from_line("info 2026-12-03T20:40:46.000Z stamp=1.0 event=a " + bytes, 1);
     time_from_text(bytes);
 }
