--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -530,7 +530,54 @@
     EXPECT_LE(m_dispatcher.timers().size(), 3U);
 }
 
-// Guards against the order of waiting requests: the more urgent one goes first.
+// Guards against room that is given away by arrival alone: with one connection and more requests
+// than it carries, the more urgent kind goes first, and requests of one kind keep their order.
+TEST_F(dispatcher_test, waiting_requests_go_by_priority_and_then_by_arrival)
+{
+    list({{"a", 1}});
+    std::vector<route> rules{single(true), single(true)};
+    constexpr int lookup_priority = 2;
+    constexpr int sweep_priority = 1;
+    rules[0].name = "lookup";
+    rules[0].priority = lookup_priority;
+    rules[1].name = "sweep";
+    rules[1].priority = sweep_priority;
+    for (route& rule : rules)
+    {
+        rule.host = "h";
+        rule.path_prefix = "/" + rule.name + "/";
+        rule.objective = 400ms;
+    }
+    base::error reason;
+    auto table = route_table::create(1, std::move(rules), {}, {}, reason);
+    ASSERT_TRUE(table) << reason.message;
+    m_dispatcher.adopt(std::make_shared<const route_table>(std::move(*table)));
+    m_transport.behaviours["a1"].connections = 1;
+    std::vector<std::string> answered;
+    std::vector<std::shared_ptr<test_dispatcher::run_type>> runs;
+    for (const char* const each : {"lookup 1", "lookup 2", "lookup 3", "sweep 1", "sweep 2"})
+    {
+        const std::string id = each;
+        caller_request<message> request;
+        request.id = id;
+        request.message = std::make_shared<const message>();
+        request.deadline = 1000ms;
+        const route* const rule =
+            m_dispatcher.table()->find_route("h", "/" + id.substr(0, id.find(' ')) + "/");
+        ASSERT_NE(rule, nullptr);
+        runs.push_back(m_dispatcher.submit(std::move(request), *rule,
+                                           [&answered, id](const answer& result)
+                                           {
+                                               EXPECT_EQ(result.kind, answer_kind::relayed);
+                                               answered.push_back(id);
+                                           }));
+    }
+    play(90ms);
+    EXPECT_EQ(answered,
+              (std::vector<std::string>{"lookup 1", "sweep 1", "sweep 2", "lookup 2", "lookup 3"}));
+}
+
+// Guards against a part that waits although a connection has become free.
 TEST_F(dispatcher_test, waiting_part_is_sent_when_connection_becomes_free)
 {
     list({{"a", 1}, {"b", 1}});
