--- a/tests/chaos/gateway_audit.cpp
+++ b/tests/chaos/gateway_audit.cpp
@@ -245,7 +245,10 @@
         ++m_checks["callers that left"];
         if (found->second > seen.ended_at + departure_slack && is_calm(seen, found->second))
             violate("no work for callers that left", seen,
-                    "a replica was at work after half a second");
+                    fmt::format("a replica was at work {} ms later",
+                                std::chrono::duration_cast<std::chrono::milliseconds>(
+                                    found->second - seen.ended_at)
+                                    .count()));
     }
 }
 
