Platform: Share what the sinks, the JSON texts and the chaos programs wrote twice

- Three writers of JSON without line breaks and one reader in the adapter: platform/json_text.
- Conversions between string views of the standard and of Beast stood in three files, one of them source/query/upstream_client: http/string_views.
- chaos_run and gateway_run had the same main: run_program.
A replica stand-in without faults was made in two places.
The audit asked whether a VM was calm once for each earlier sighting of a configuration; once for each answer is enough.

Left: fuzz targets that begin alike, the shapes in replica.cpp and timeline_svg.cpp, and the two to_string of answer and attempt are alike in form only.

--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -11,6 +11,8 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "http/string_views.hpp"
+
 namespace ospreystair::query
 {
 
@@ -61,8 +63,7 @@
 
 std::string_view header(const http::response& reply, std::string_view name)
 {
-    const auto value = reply[boost::beast::string_view(name.data(), name.size())];
-    return {value.data(), value.size()};
+    return http::to_view(reply[http::to_beast(name)]);
 }
 
 // Each answer becomes part of the caller's document as it is, so that one that is not JSON would
--- a/tests/chaos/chaos_run.cpp
+++ b/tests/chaos/chaos_run.cpp
@@ -154,14 +154,7 @@
 int main(int argc, const char** argv)
 {
     using namespace ospreystair;
-    base::error reason;
-    const auto settings = chaos::read_settings(
-        "chaos_run", "Checks the guarantees under a seeded schedule of faults.", argc, argv,
-        reason);
-    if (!settings)
-    {
-        fmt::print(stderr, "error {}: {}\n", base::to_string(reason.kind), reason.message);
-        return 2;
-    }
-    return chaos::run(*settings) ? 0 : 1;
+    return chaos::run_program("chaos_run",
+                              "Checks the guarantees under a seeded schedule of faults.", argc,
+                              argv, chaos::run);
 }
--- a/tests/chaos/gateway_audit.cpp
+++ b/tests/chaos/gateway_audit.cpp
@@ -188,8 +188,9 @@
         violate("configurations are in force in time", seen,
                 fmt::format("generation {} instead of {}", number, due));
     std::vector<sighting>& sightings = m_sightings[{seen.vm, seen.incarnation}];
+    const bool is_vm_calm = is_calm(seen, seen.ended_at);
     for (const sighting& earlier : sightings)
-        if (is_calm(seen, seen.ended_at) && earlier.ended_at + downgrade_slack < seen.sent_at &&
+        if (is_vm_calm && earlier.ended_at + downgrade_slack < seen.sent_at &&
             earlier.generation > number)
             return violate("configurations never revert", seen,
                            fmt::format("generation {} after {}", number, earlier.generation));
--- a/tests/chaos/gateway_run.cpp
+++ b/tests/chaos/gateway_run.cpp
@@ -93,14 +93,7 @@
 int main(int argc, const char** argv)
 {
     using namespace ospreystair;
-    base::error reason;
-    const auto settings = chaos::read_settings(
-        "gateway_run", "Checks the platform's program under a seeded schedule of faults.", argc,
-        argv, reason);
-    if (!settings)
-    {
-        fmt::print(stderr, "error {}: {}\n", base::to_string(reason.kind), reason.message);
-        return 2;
-    }
-    return chaos::run(*settings) ? 0 : 1;
+    return chaos::run_program("gateway_run",
+                              "Checks the platform's program under a seeded schedule of faults.",
+                              argc, argv, chaos::run);
 }
--- a/tests/chaos/gateway_system.cpp
+++ b/tests/chaos/gateway_system.cpp
@@ -26,6 +26,14 @@
 constexpr milliseconds slow_reply{300};
 constexpr std::uint64_t store_delay_ms = 300;
 
+// The replica without any fault.
+replica_behaviour make_whole(const replica_behaviour& how)
+{
+    replica_behaviour result;
+    result.body = how.body;
+    return result;
+}
+
 } // namespace
 
 testing_support::fleet_plan gateway_system::make_plan()
@@ -107,8 +115,8 @@
         return m_fleet.change_replica(find_hit(fault),
                                       [](replica_behaviour& how)
                                       {
-                                          replica_behaviour whole;
-                                          whole.body = how.body;
+                                          // Silence and slowness are faults of other kinds.
+                                          replica_behaviour whole = make_whole(how);
                                           whole.is_mute = how.is_mute;
                                           whole.latency = how.latency;
                                           how = whole;
@@ -321,13 +329,7 @@
     m_fleet.store().set_mode(store_mode::serving);
     m_fleet.store().set_delay(milliseconds{0});
     m_fleet.store().set_losing_answers(false);
-    m_fleet.change_all_replicas(
-        [](replica_behaviour& how)
-        {
-            replica_behaviour whole;
-            whole.body = how.body;
-            how = whole;
-        });
+    m_fleet.change_all_replicas([](replica_behaviour& how) { how = make_whole(how); });
     for (const auto& [fault, id] : m_hit)
         m_fleet.register_replica(id, "ready");
 }
--- a/tests/chaos/run_support.cpp
+++ b/tests/chaos/run_support.cpp
@@ -15,8 +15,7 @@
 {
 
 constexpr std::size_t max_violations_printed = 5;
-
-} // namespace
+constexpr int exit_invalid_settings = 2;
 
 std::optional<run_settings> read_settings(const std::string& program,
                                           const std::string& description, int argc,
@@ -42,6 +41,21 @@
     return run_settings{*seed, duration};
 }
 
+} // namespace
+
+int run_program(const std::string& program, const std::string& description, int argc,
+                const char** argv, bool (*run)(const run_settings&))
+{
+    base::error reason;
+    const auto settings = read_settings(program, description, argc, argv, reason);
+    if (!settings)
+    {
+        fmt::print(stderr, "error {}: {}\n", base::to_string(reason.kind), reason.message);
+        return exit_invalid_settings;
+    }
+    return run(*settings) ? 0 : 1;
+}
+
 void print_schedule(const run_settings& settings, const std::vector<scheduled_fault>& schedule)
 {
     fmt::print("seed {}, {} ms, {} faults\n", settings.seed, settings.duration.count(),
--- a/tests/chaos/run_support.hpp
+++ b/tests/chaos/run_support.hpp
@@ -23,10 +23,10 @@
     std::chrono::milliseconds duration{0};
 };
 
-/// Reads --seed, --minutes and --seconds. Fails with invalid_settings.
-std::optional<run_settings> read_settings(const std::string& program,
-                                          const std::string& description, int argc,
-                                          const char** argv, base::error& reason);
+/// The main function of a chaos program: reads --seed, --minutes and --seconds, and returns 0 when
+/// `run` returns true, 1 when it does not, and 2 when the settings are wrong.
+int run_program(const std::string& program, const std::string& description, int argc,
+                const char** argv, bool (*run)(const run_settings&));
 
 void print_schedule(const run_settings& settings, const std::vector<scheduled_fault>& schedule);
 
--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -6,6 +6,7 @@
 
 #include "platform/configuration_decoder.hpp"
 #include "platform/forwarded_message.hpp"
+#include "platform/json_text.hpp"
 #include "platform/read_plan.hpp"
 #include "platform/registration_decoder.hpp"
 #include "platform/vm_settings.hpp"
