Tests: Wait for the end of a killed process before its successor starts

The old process, sent SIGKILL a moment before, still held the address. Ruled out: the program; its log has the refused start and nothing else. Change: the fixtures end and reap the old process before they start its successor, as on a real VM.

--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -242,6 +242,8 @@
 void platform_fleet::start(std::size_t vm)
 {
     gateway_vm& item = m_vms.at(vm);
+    // Waits for the end of a killed process: until then it holds the addresses.
+    item.process.reset();
     item.process = std::make_unique<child_process>(
         OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway",
         std::vector<std::string>{"--settings", item.settings_path, "--metrics-port",
--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -292,12 +292,15 @@
                                           m_plan.log_level};
     if (!peers.empty())
         arguments.insert(arguments.end(), {"--peer-addresses", peers});
+    // Waits for the end of a killed process: until then it holds the addresses.
+    item.agent.reset();
     item.agent = start("ospreystair-agent", "agent-" + item.name, arguments);
 }
 
 void test_cluster::start_entry(std::size_t index)
 {
     test_vm& item = m_vms.at(index);
+    item.entry.reset();
     item.entry = start("ospreystair-entry", "entry-" + item.name,
                        {"--vm", item.name, "--data-centre", item.data_centre, "--caller-address",
                         local(item.caller_port), "--operator-address", local(item.operator_port),
