--- a/tests/integration/test_cluster.cpp
+++ b/tests/integration/test_cluster.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/integration/test_cluster.hpp"
 
+#include <algorithm>
 #include <filesystem>
 #include <iostream>
 #include <random>
@@ -87,7 +88,7 @@
 test_cluster::~test_cluster()
 {
     if (testing::Test::HasFailure())
-        std::cerr << "logs are kept in " << m_folder << "\n";
+        print_logs();
     for (test_vm& item : m_vms)
     {
         item.entry.reset();
@@ -101,6 +102,21 @@
         std::filesystem::remove_all(m_folder);
 }
 
+// The folder is gone by the time that somebody reads the report of a CI run.
+void test_cluster::print_logs() const
+{
+    constexpr std::size_t most_bytes = 3'000;
+    std::cerr << "logs are kept in " << m_folder << "\n";
+    for (const test_vm& item : m_vms)
+    {
+        if (!item.entry)
+            continue;
+        const std::string text = item.entry->log_text();
+        std::cerr << "end of the log of the entry of " << item.name << ":\n"
+                  << text.substr(text.size() - std::min(text.size(), most_bytes)) << "\n";
+    }
+}
+
 void test_cluster::plan_vms()
 {
     for (const std::string& data_centre : m_plan.data_centres)
--- a/tests/integration/test_cluster.hpp
+++ b/tests/integration/test_cluster.hpp
@@ -140,6 +140,7 @@
 private:
     void allocate_ports();
     void plan_vms();
+    void print_logs() const;
     int next_port();
     void start_platform();
     void start_upstreams();
