Forwarding: Repeat parts only when the stream of replies has stopped

Ruled out: replies lost to the VM's processor (first replies at 14 to 26 ms, then at the pace of the link). Change: straggler_rule, a type of its own: with one part in eight missing, repeats wait until no reply has come for 1/32 of the objective (at the latest until twice the usual time); a silence counts before half of the parts are in only when it is as long as an overdue reply. Tests: wide_gather_test, two of four failed before.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -20,6 +20,7 @@
 #include "forwarding/answer.hpp"
 #include "forwarding/record_merge.hpp"
 #include "forwarding/route_table.hpp"
+#include "forwarding/straggler_rule.hpp"
 #include "forwarding/timer_queue.hpp"
 #include "routing/deadline_budget.hpp"
 
@@ -52,8 +53,6 @@
     static constexpr std::chrono::milliseconds answer_margin{10};
     /// A request may wait for a connection for this part of its objective.
     static constexpr int longest_wait_part = 4;
-    /// Parts that are still missing count as stragglers when they are one in this many.
-    static constexpr std::size_t straggler_part = 8;
 
     request_run(Dispatcher& dispatcher, caller_request<Message> request,
                 std::shared_ptr<const route_table> table, const route& rule,
@@ -62,7 +61,8 @@
           m_route(rule), m_knowledge(std::move(knowledge)),
           m_usual(m_knowledge->usual(rule.objective)), m_on_answer(std::move(on_answer)),
           m_budget(dispatcher.now(), std::min(m_request.deadline, rule.timeout)),
-          m_started_at(dispatcher.now()), m_answer_at(find_answer_time())
+          m_started_at(dispatcher.now()), m_answer_at(find_answer_time()),
+          m_stragglers(m_started_at, m_usual, rule.objective)
     {
     }
 
@@ -91,7 +91,7 @@
         --owner.open_attempts;
         if (owner.state != part_state::open)
             return;
-        m_last_reply_at = m_dispatcher.now();
+        m_stragglers.record_end(m_dispatcher.now());
         if (may_have_run(result.outcome))
             m_may_have_run = true;
         m_dispatcher.note_attempt(*this, owner.service, ended, result);
@@ -101,7 +101,7 @@
         else
             try_again(ended.part, ended, std::move(result));
         settle();
-        if (!m_is_finished && m_is_hedge_due && has_only_stragglers(m_dispatcher.now()))
+        if (!m_is_finished && m_is_hedge_due)
             hedge_due_parts();
     }
 
@@ -288,17 +288,11 @@
     {
         if (!m_route.is_idempotent)
             return;
-        const base::time_point at = now + patience();
+        const base::time_point at = now + m_stragglers.patience(m_parts.size());
         m_parts[index].hedge_at = at;
         arm_hedge_timer(at);
     }
 
-    // How long a part may take. Among many parts the slowest ones stand out by themselves.
-    base::duration patience() const
-    {
-        return m_parts.size() >= straggler_part ? 5 * m_usual.typical / 4 : m_usual.overdue;
-    }
-
     // Invariant: at most one timer waits, for the earliest hedge.
     void arm_hedge_timer(base::time_point at)
     {
@@ -310,17 +304,24 @@
                                                        [self = this->weak_from_this()]
                                                        {
                                                            if (const auto run = self.lock())
-                                                               run->hedge_due_parts();
+                                                               run->on_hedge_timer();
                                                        });
     }
 
-    void hedge_due_parts()
+    void on_hedge_timer()
     {
         m_hedge_timer = 0;
+        hedge_due_parts();
+    }
+
+    // Asks for overdue parts once only stragglers are missing.
+    void hedge_due_parts()
+    {
         const base::time_point now = m_dispatcher.now();
-        m_is_hedge_due = !has_only_stragglers(now);
+        const base::time_point due = m_stragglers.due(m_open_parts, m_parts.size());
+        m_is_hedge_due = due > now;
         if (m_is_hedge_due)
-            return arm_hedge_timer(now + quiet_time());
+            return arm_hedge_timer(due);
         for (std::size_t index = 0; index < m_parts.size() && !m_is_finished; ++index)
         {
             const part& item = m_parts[index];
@@ -332,17 +333,6 @@
                 arm_hedge_timer(*item.hedge_at);
     }
 
-    // Whether the parts that are missing are late by themselves. While replies still come in one
-    // after the other, the VM's own link or processor is what they wait for: the parts of one query
-    // over 90 shards take 40 ms on a link of 21 Mbit/s, and repeats would make it longer.
-    bool has_only_stragglers(base::time_point now) const
-    {
-        return m_open_parts <= std::max<std::size_t>(1, m_parts.size() / straggler_part) ||
-               now - m_last_reply_at >= quiet_time();
-    }
-
-    base::duration quiet_time() const { return m_usual.typical / 2; }
-
     // Asks a second replica when the first one's reply is overdue.
     void hedge(std::size_t index)
     {
@@ -365,7 +355,8 @@
                                                      : "no other replica has room");
             return schedule_hedge(index, now);
         }
-        m_dispatcher.note_hedge(*this, item.service, *choice.target, patience());
+        m_dispatcher.note_hedge(*this, item.service, *choice.target,
+                                m_stragglers.patience(m_parts.size()));
         send(index, choice.target, true);
     }
 
@@ -546,12 +537,12 @@
     const base::time_point m_started_at;
     // When a gathered query answers with what it has.
     const base::time_point m_answer_at;
+    straggler_rule m_stragglers;
     std::vector<part> m_parts;
     std::vector<std::shared_ptr<attempt_type>> m_attempts;
     // Invariant: m_open_parts and m_answered count the parts in these states.
     std::size_t m_open_parts = 0;
     std::size_t m_answered = 0;
-    base::time_point m_last_reply_at = m_started_at;
     // Replicas that could not even be sent a byte.
     std::vector<std::shared_ptr<replica>> m_not_sent;
     bool m_may_have_run = false;
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -16,6 +16,7 @@
 {
 
 using namespace std::chrono_literals;
+using std::chrono::milliseconds;
 
 struct message
 {
@@ -515,6 +516,86 @@
     EXPECT_LE(m_observer.hedges, 3);
 }
 
+/// 24 shards whose replicas answer after 10, 12 ... 56 ms; the replies to one query come in a row.
+class wide_gather_test : public dispatcher_test
+{
+protected:
+    wide_gather_test()
+    {
+        std::map<std::string, int> services;
+        for (char name = 'a'; name < 'a' + shard_count; ++name)
+        {
+            m_shards.emplace_back(1, name);
+            services[m_shards.back()] = 2;
+        }
+        list(services);
+        adopt(gather(m_shards, 0.5));
+        set_latencies([](int number) { return milliseconds{10 + 2 * number}; });
+        warm_up();
+        m_observer.hedges = 0;
+    }
+
+    void set_latencies(const std::function<milliseconds(int)>& latency_of)
+    {
+        int number = 0;
+        for (const std::string& shard : m_shards)
+        {
+            for (const char* index : {"1", "2"})
+                m_transport.behaviours[shard + index].latency = latency_of(number);
+            ++number;
+        }
+    }
+
+    static constexpr int shard_count = 24;
+    std::vector<std::string> m_shards;
+};
+
+// Guards against repeats of the slowest of many ordinary parts: they spent the budget that parts
+// of slow and paused replicas need.
+TEST_F(wide_gather_test, slowest_ordinary_parts_are_not_repeated)
+{
+    const answer result = ask();
+    EXPECT_EQ(result.missing_parts, 0U);
+    EXPECT_EQ(m_observer.hedges, 0);
+}
+
+// Guards against a second sending of a whole query before anything has come in: the VM itself was
+// late, and the repeats made it later.
+TEST_F(wide_gather_test, query_without_first_reply_is_not_repeated_as_a_whole)
+{
+    set_latencies([](int) { return milliseconds{48}; });
+    const answer result = ask();
+    EXPECT_EQ(result.missing_parts, 0U);
+    EXPECT_EQ(m_observer.hedges, 0);
+}
+
+// Guards against parts of silent replicas that wait behind the rule for ordinary ones.
+TEST_F(wide_gather_test, parts_of_silent_replicas_are_repeated_in_time)
+{
+    set_latencies([](int) { return milliseconds{20}; });
+    for (const char* shard : {"b", "k", "x"})
+        m_transport.behaviours[std::string(shard) + "1"].is_silent = true;
+    for (int round = 0; round < 4; ++round)
+    {
+        const answer result = ask();
+        EXPECT_EQ(result.missing_parts, 0U);
+        EXPECT_LE(m_latency, 110ms);
+    }
+    EXPECT_GT(m_observer.hedges, 0);
+}
+
+// Guards against a query that waits to its end because most of its replicas fell silent together.
+TEST_F(wide_gather_test, query_whose_replicas_are_all_silent_is_repeated_when_overdue)
+{
+    set_latencies([](int) { return milliseconds{20}; });
+    for (const std::string& shard : m_shards)
+        m_transport.behaviours[shard + "1"].is_silent = true;
+    const answer result = ask();
+    EXPECT_GT(m_observer.hedges, 0);
+    EXPECT_LE(m_latency, 110ms);
+    EXPECT_EQ(result.kind, answer_kind::gathered);
+}
+
 // Guards against timers that multiply when overdue parts find no other replica: each wake-up must
 // leave at most one behind.
 TEST_F(dispatcher_test, overdue_parts_without_other_replica_keep_one_timer)
--- a/tests/unit/platform_mirror_test.cpp
+++ b/tests/unit/platform_mirror_test.cpp
@@ -35,8 +35,7 @@
         http::response result;
         http::asio::co_spawn(
             m_context,
-            [this, query]
-            {
+            [this, query] {
                 return m_mirror.answer("/v1/objects/kind" + query,
                                        std::make_shared<http::exchange_context>());
             },
