Forwarding: Shorten the wait for the end of a stream with the parts that are missing

Change: the silence that ends a stream is a quarter of the objective for all parts, and as much less as fewer are missing.

--- a/source/forwarding/straggler_rule.hpp
+++ b/source/forwarding/straggler_rule.hpp
@@ -45,20 +45,25 @@
     /// in until then.
     base::time_point due(std::size_t open, std::size_t parts) const
     {
-        if (open <= std::max<std::size_t>(1, parts / many_parts))
-            return parts < many_parts ? m_started_at
-                                      : std::min(m_last_reply_at + m_objective / stream_gap_part,
-                                                 m_started_at + longest_stream * m_usual.typical);
+        if (parts < many_parts)
+            return open <= 1 ? m_started_at : m_last_reply_at + m_usual.typical / 2;
         // While less than half has come, nothing tells a slow part from a slow VM.
-        return m_last_reply_at +
-               (2 * open <= parts || parts < many_parts ? m_usual.typical / 2 : m_usual.overdue);
+        if (2 * open > parts)
+            return m_last_reply_at + m_usual.overdue;
+        const std::size_t few = parts / many_parts;
+        const base::time_point end = m_last_reply_at + base::duration(m_objective) *
+                                                           std::max(open, few) /
+                                                           (whole_gap_part * parts);
+        return open <= few ? std::min(end, m_started_at + longest_stream * m_usual.typical) : end;
     }
 
 private:
-    // Replies that follow each other within this part of the objective still come in a stream: 4 ms
-    // of 120 ms, some ten times the time of one part on the slowest links.
-    static constexpr int stream_gap_part = 32;
-    // The slowest of some hundred ordinary replies takes twice the usual time.
+    // Replies that follow each other more closely than this still come in a stream: a quarter of
+    // the objective for all parts, and as much less as fewer are missing; 4 ms of 120 ms for the
+    // last ones, some ten times the time of one part on the slowest links.
+    static constexpr std::size_t whole_gap_part = 4;
+    // The slowest of some hundred ordinary replies takes twice the usual time. Replies of slow
+    // replicas that trickle in must not postpone the repeats of the others further.
     static constexpr int longest_stream = 2;
 
     const base::time_point m_started_at;
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -532,9 +532,19 @@
         adopt(gather(m_shards, 0.5));
         set_latencies([](int number) { return milliseconds{10 + 2 * number}; });
         warm_up();
+        ask();
         m_observer.hedges = 0;
     }
 
+    /// The replica of a shard that the last query went to; the next one prefers it too.
+    std::string replica_in_use(const std::string& shard) const
+    {
+        const auto found =
+            std::find_if(m_transport.sent.rbegin(), m_transport.sent.rend(),
+                         [&](const std::string& id) { return id.starts_with(shard); });
+        return found == m_transport.sent.rend() ? shard + "1" : *found;
+    }
+
     void set_latencies(const std::function<milliseconds(int)>& latency_of)
     {
         int number = 0;
@@ -569,12 +579,24 @@
     EXPECT_EQ(m_observer.hedges, 0);
 }
 
+// Guards against repeats that come too late for the objective, when slow replicas hold a fifth of
+// the parts: the wait for the end of the stream was half of the usual time.
+TEST_F(wide_gather_test, fifth_of_parts_at_slow_replicas_is_repeated_within_objective)
+{
+    set_latencies([](int number) { return milliseconds{40 + number / 2}; });
+    for (const char* shard : {"p", "r", "t", "v", "x"})
+        m_transport.behaviours[replica_in_use(shard)].latency = 400ms;
+    const answer result = ask();
+    EXPECT_EQ(result.missing_parts, 0U);
+    EXPECT_LE(m_latency, 120ms);
+}
+
 // Guards against parts of silent replicas that wait behind the rule for ordinary ones.
 TEST_F(wide_gather_test, parts_of_silent_replicas_are_repeated_in_time)
 {
     set_latencies([](int) { return milliseconds{20}; });
     for (const char* shard : {"b", "k", "x"})
-        m_transport.behaviours[std::string(shard) + "1"].is_silent = true;
+        m_transport.behaviours[replica_in_use(shard)].is_silent = true;
     for (int round = 0; round < 4; ++round)
     {
         const answer result = ask();
@@ -589,7 +611,7 @@
 {
     set_latencies([](int) { return milliseconds{20}; });
     for (const std::string& shard : m_shards)
-        m_transport.behaviours[shard + "1"].is_silent = true;
+        m_transport.behaviours[replica_in_use(shard)].is_silent = true;
     const answer result = ask();
     EXPECT_GT(m_observer.hedges, 0);
     EXPECT_LE(m_latency, 110ms);
