Forwarding: Remember replicas that did not answer beyond the back-off

Cause: an attempt given up without a reply set a back-off of 150 ms to 1 s and taught nothing else. In a fleet of 82 VMs each VM asks a replica every few seconds, when the back-off is over: dark and mute replicas got their share of the first attempts again in each query, for as long as they were away. Change: the time until an attempt was given up is a sample of the replica's speed, which fades within some ten seconds. Test: replica_test.silent_replica_is_avoided_for_several_seconds_and_then_tried (the expected time did not depend on it before).

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -328,7 +328,7 @@
             return;
         given_up->is_ended = true;
         const base::time_point now = m_clock.now();
-        given_up->target->record_abandoned(given_up->sent_at, now);
+        given_up->target->record_abandoned(given_up->sent_at, now, given_up->usual);
         // It would have taken longer, but by then it is overdue by any measure.
         given_up->knowledge->record_attempt(now - given_up->sent_at);
         m_transport.drop(given_up);
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -99,7 +99,12 @@
         return;
     m_back_offs = 0;
     m_avoid_until = now;
-    const double ratio = to_seconds(now - sent_at) / std::max(1e-6, to_seconds(usual.typical));
+    learn_speed(now - sent_at, now, usual);
+}
+
+void replica::learn_speed(base::duration taken, base::time_point now, const usual_times& usual)
+{
+    const double ratio = to_seconds(taken) / std::max(1e-6, to_seconds(usual.typical));
     const double sample =
         std::clamp(std::log(std::max(1e-6, ratio)), lowest_log_speed, highest_log_speed);
     const double known = std::log(speed(now));
@@ -123,12 +128,16 @@
     m_failure_at = now;
 }
 
-void replica::record_abandoned(base::time_point sent_at, base::time_point now)
+void replica::record_abandoned(base::time_point sent_at, base::time_point now,
+                               const usual_times& usual)
 {
     forget_sent(sent_at);
     // A reply to a later request shows that only this one was slow.
-    if (m_heard_at <= sent_at)
-        back_off(now, first_silence_back_off);
+    if (m_heard_at > sent_at)
+        return;
+    back_off(now, first_silence_back_off);
+    // In a large fleet a VM asks a replica every few seconds, when the back-off is long over.
+    learn_speed(now - sent_at, now, usual);
 }
 
 void replica::record_load(const load_report& report, base::time_point now)
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -59,8 +59,8 @@
     void record_refusal(base::time_point sent_at, base::time_point now);
     /// The connection broke before a whole reply came.
     void record_break(base::time_point sent_at, base::time_point now);
-    /// The attempt was given up without a reply.
-    void record_abandoned(base::time_point sent_at, base::time_point now);
+    /// The attempt was given up without a reply: it would have taken longer than until now.
+    void record_abandoned(base::time_point sent_at, base::time_point now, const usual_times& usual);
     void record_load(const load_report& report, base::time_point now);
 
     /// Another replica answered at this address: this one is gone, whatever the registry says.
@@ -97,6 +97,7 @@
 
 private:
     void forget_sent(base::time_point sent_at);
+    void learn_speed(base::duration taken, base::time_point now, const usual_times& usual);
     void back_off(base::time_point now, base::duration first);
     double speed(base::time_point now) const;
     double failure_share(base::time_point now) const;
--- a/tests/unit/forwarding_replica_test.cpp
+++ b/tests/unit/forwarding_replica_test.cpp
@@ -63,7 +63,7 @@
     m_replica.record_sent(sent_at);
     m_now += replica::longest_pause + 1ms;
     EXPECT_TRUE(m_replica.is_down(m_now));
-    m_replica.record_abandoned(sent_at, m_now);
+    m_replica.record_abandoned(sent_at, m_now, m_usual);
     EXPECT_TRUE(m_replica.is_down(m_now));
     m_now += 2s;
     EXPECT_FALSE(m_replica.is_down(m_now));
@@ -72,6 +72,19 @@
     EXPECT_TRUE(m_replica.is_down(m_now));
 }
 
+// Guards against a silent replica that gets its share of the work again after the back-off: of 82
+// VMs each asks it every few seconds, and each of these requests was lost.
+TEST_F(replica_test, silent_replica_is_avoided_for_several_seconds_and_then_tried)
+{
+    const base::time_point sent_at = m_now;
+    m_replica.record_sent(sent_at);
+    m_now += 300ms;
+    m_replica.record_abandoned(sent_at, m_now, m_usual);
+    // Equal replicas are chosen at random within 15%.
+    EXPECT_GT(m_replica.expected_time(m_now + 4s, m_usual), m_usual.typical * 13 / 10);
+    EXPECT_LT(m_replica.expected_time(m_now + 20s, m_usual), m_usual.typical * 115 / 100);
+}
+
 // Guards against a slow replica that keeps its share of the work, and against one that never gets
 // it back.
 TEST_F(replica_test, slow_replies_raise_expected_time_and_fade)
