--- a/standins/users_platform/store_standin.cpp
+++ b/standins/users_platform/store_standin.cpp
@@ -251,8 +251,11 @@
         return make_reply(http::status::not_found, Json::objectValue);
     if (message.method() == http::verb::get)
         return make_reply(http::status::ok, describe(group.at(name)));
-    const Json::Value& expected = body["meta"]["revision"];
-    if (expected.isUInt64() && expected.asUInt64() != group.at(name).revision)
+    const Json::Value& in_body = body["meta"]["revision"];
+    const auto expected = in_body.isUInt64()
+                              ? std::optional<std::uint64_t>(in_body.asUInt64())
+                              : http::find_number(std::string(message.target()), "revision");
+    if (expected && *expected != group.at(name).revision)
         return make_reply(http::status::conflict, describe(group.at(name)));
     if (message.method() == http::verb::delete_)
     {
