Forwarding: Give the parts of a query a type and file of their own

The part, its state and the composition of a gathered answer need none of the run's template parameters. Behaviour as it was: 75 tests of the package and of the gateway's path pass.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -18,7 +18,7 @@
 #include <fmt/format.h>
 
 #include "forwarding/answer.hpp"
-#include "forwarding/record_merge.hpp"
+#include "forwarding/query_part.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/straggler_rule.hpp"
 #include "forwarding/timer_queue.hpp"
@@ -70,7 +70,7 @@
     void start(const std::vector<std::string>& services)
     {
         for (const std::string& service : services)
-            m_parts.push_back(part{service});
+            m_parts.emplace_back(service);
         m_open_parts = m_parts.size();
         if (refuse_if_unservable())
             return;
@@ -87,7 +87,7 @@
     {
         if (m_is_finished)
             return;
-        part& owner = m_parts[ended.part];
+        query_part& owner = m_parts[ended.part];
         --owner.open_attempts;
         if (owner.state != part_state::open)
             return;
@@ -132,31 +132,6 @@
     int priority() const { return m_route.priority; }
 
 private:
-    enum class part_state
-    {
-        open,
-        answered,
-        failed
-    };
-
-    struct part
-    {
-        explicit part(std::string name) : service(std::move(name)) {}
-
-        std::string service;
-        part_state state = part_state::open;
-        replica_reply reply;
-        // Replicas that were asked, with repetition.
-        std::vector<std::shared_ptr<replica>> asked;
-        std::size_t open_attempts = 0;
-        bool is_waiting = false;
-        // When the reply is overdue; absent while nothing more can be done about it.
-        std::optional<base::time_point> hedge_at;
-        // The last failure of a replica, to pass on when nothing better comes.
-        std::optional<replica_reply> failure;
-        std::string reason;
-    };
-
     base::time_point find_answer_time() const
     {
         const base::time_point now = m_dispatcher.now();
@@ -171,7 +146,7 @@
     {
         std::size_t servable = 0;
         std::string missing;
-        for (const part& item : m_parts)
+        for (const query_part& item : m_parts)
             if (m_dispatcher.has_live_replica(item.service))
                 ++servable;
             else if (missing.empty())
@@ -209,7 +184,7 @@
     // Sends an attempt for the part, lets it wait for room, or fails it.
     void ask(std::size_t index)
     {
-        part& item = m_parts[index];
+        query_part& item = m_parts[index];
         const bool is_repeat = !item.asked.empty();
         const auto choice = m_dispatcher.choose(item.service, avoided(item), m_usual);
         if (!choice.target && choice.is_saturated)
@@ -228,7 +203,7 @@
 
     void wait_for_room(std::size_t index)
     {
-        part& item = m_parts[index];
+        query_part& item = m_parts[index];
         item.is_waiting = true;
         m_dispatcher.wait_for_room(item.service, this->shared_from_this(), index);
         if (m_sends > 0 || m_route.is_gather())
@@ -247,7 +222,7 @@
 
     void end_wait(std::size_t index)
     {
-        part& item = m_parts[index];
+        query_part& item = m_parts[index];
         if (m_is_finished || !item.is_waiting || item.state != part_state::open)
             return;
         fail_part(item, "every connection to its replicas is busy");
@@ -256,7 +231,7 @@
 
     void send(std::size_t index, const std::shared_ptr<replica>& target, bool is_repeat)
     {
-        part& item = m_parts[index];
+        query_part& item = m_parts[index];
         const base::time_point now = m_dispatcher.now();
         auto next = std::make_shared<attempt_type>();
         next->target = target;
@@ -324,11 +299,11 @@
             return arm_hedge_timer(due);
         for (std::size_t index = 0; index < m_parts.size() && !m_is_finished; ++index)
         {
-            const part& item = m_parts[index];
+            const query_part& item = m_parts[index];
             if (item.state == part_state::open && item.hedge_at && *item.hedge_at <= now)
                 hedge(index);
         }
-        for (const part& item : m_parts)
+        for (const query_part& item : m_parts)
             if (item.state == part_state::open && item.hedge_at && !m_is_finished)
                 arm_hedge_timer(*item.hedge_at);
     }
@@ -336,7 +311,7 @@
     // Asks a second replica when the first one's reply is overdue.
     void hedge(std::size_t index)
     {
-        part& item = m_parts[index];
+        query_part& item = m_parts[index];
         item.hedge_at.reset();
         if (m_is_finished || item.state != part_state::open || item.open_attempts == 0 ||
             item.is_waiting || !may_ask_another(item))
@@ -363,7 +338,7 @@
     // Decides what follows an attempt without a usable reply.
     void try_again(std::size_t index, const attempt_type& ended, attempt_result result)
     {
-        part& item = m_parts[index];
+        query_part& item = m_parts[index];
         item.reason = std::move(result.reason);
         if (result.outcome == attempt_outcome::failed)
             item.failure = std::move(result.reply);
@@ -388,14 +363,14 @@
     }
 
     // Replicas that the next attempt of the part should not go to.
-    std::vector<std::shared_ptr<replica>> avoided(const part& item) const
+    std::vector<std::shared_ptr<replica>> avoided(const query_part& item) const
     {
         std::vector<std::shared_ptr<replica>> result = item.asked;
         result.insert(result.end(), m_not_sent.begin(), m_not_sent.end());
         return result;
     }
 
-    bool may_ask_another(const part& item) const
+    bool may_ask_another(const query_part& item) const
     {
         return item.asked.size() < m_route.most_attempts;
     }
@@ -408,7 +383,7 @@
                !result.reply.receipt.empty();
     }
 
-    void accept(part& item, replica_reply reply, attempt_outcome outcome)
+    void accept(query_part& item, replica_reply reply, attempt_outcome outcome)
     {
         close_part(item, outcome == attempt_outcome::succeeded ? part_state::answered
                                                                : part_state::failed);
@@ -418,13 +393,13 @@
             item.failure = std::move(reply);
     }
 
-    void fail_part(part& item, std::string reason)
+    void fail_part(query_part& item, std::string reason)
     {
         item.reason = std::move(reason);
         close_part(item, part_state::failed);
     }
 
-    void close_part(part& item, part_state state)
+    void close_part(query_part& item, part_state state)
     {
         item.state = state;
         --m_open_parts;
@@ -451,29 +426,11 @@
 
     void finish_success()
     {
+        if (m_route.is_gather())
+            return finish(gather_parts(m_parts, m_route.most_records));
         answer result;
-        if (!m_route.is_gather())
-        {
-            result.kind = answer_kind::relayed;
-            result.reply = std::move(m_parts.front().reply);
-            return finish(std::move(result));
-        }
-        result.kind = answer_kind::gathered;
-        std::vector<std::string_view> bodies;
-        for (part& item : m_parts)
-        {
-            if (item.state != part_state::answered)
-            {
-                ++result.missing_parts;
-                if (result.reason.empty())
-                    result.reason = fmt::format("{}: {}", item.service,
-                                                item.reason.empty() ? "overdue" : item.reason);
-                continue;
-            }
-            result.receipts.push_back(std::move(item.reply.receipt));
-            bodies.push_back(item.reply.body);
-        }
-        result.records = merge_records(bodies, m_route.most_records);
+        result.kind = answer_kind::relayed;
+        result.reply = std::move(m_parts.front().reply);
         finish(std::move(result));
     }
 
@@ -481,10 +438,10 @@
     {
         const auto first =
             std::find_if(m_parts.begin(), m_parts.end(),
-                         [](const part& item) { return item.state != part_state::answered; });
+                         [](const query_part& item) { return item.state != part_state::answered; });
         const bool is_in_flight =
             std::any_of(m_parts.begin(), m_parts.end(),
-                        [](const part& item) { return item.open_attempts > 0; });
+                        [](const query_part& item) { return item.open_attempts > 0; });
         if (!m_may_have_run && !is_in_flight)
             return finish_refused(fmt::format("\"{}\": {}", first->service, first->reason));
         answer result;
@@ -538,7 +495,7 @@
     // When a gathered query answers with what it has.
     const base::time_point m_answer_at;
     straggler_rule m_stragglers;
-    std::vector<part> m_parts;
+    std::vector<query_part> m_parts;
     std::vector<std::shared_ptr<attempt_type>> m_attempts;
     // Invariant: m_open_parts and m_answered count the parts in these states.
     std::size_t m_open_parts = 0;
