--- a/tests/fuzz/platform_registration_fuzz.cpp
+++ b/tests/fuzz/platform_registration_fuzz.cpp
@@ -8,10 +8,10 @@
 int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     using namespace ospreystair;
-    const auto input = fuzz::read_json(fuzz::to_text(data, size));
+    auto input = fuzz::read_json(fuzz::to_text(data, size));
     if (!input || !input->isArray())
         return 0;
-    for (const Json::Value& item : *input)
+    for (Json::Value& item : *input)
     {
         const auto object = platform::decode_object(item);
         if (!object)
