--- a/source/forwarding/attempt.hpp
+++ b/source/forwarding/attempt.hpp
@@ -69,6 +69,8 @@
     attempt_outcome outcome = attempt_outcome::lost;
     replica_reply reply;
     std::optional<load_report> load;
+    /// With `not_sent`: the replica has reached its connection limit.
+    bool is_connection_rejected = false;
     /// Why there is no usable reply.
     std::string reason;
 };
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -317,8 +317,13 @@
             target.record_refusal(ended.sent_at, now);
             target.record_replaced();
             break;
-        case attempt_outcome::lost:
         case attempt_outcome::not_sent:
+            if (result.is_connection_rejected)
+                target.record_not_sent(ended.sent_at);
+            else
+                target.record_connection_loss(ended.sent_at, now);
+            break;
+        case attempt_outcome::lost:
             target.record_connection_loss(ended.sent_at, now);
             break;
         }
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -51,13 +51,16 @@
     void set_unconfirmed(bool is_unconfirmed) { m_is_unconfirmed = is_unconfirmed; }
 
     /// Records that an attempt was sent. Each call must be followed by one of `record_reply`,
-    /// `record_refusal`, `record_connection_loss` and `record_abandoned` with the same `sent_at`.
+    /// `record_refusal`, `record_not_sent`, `record_connection_loss` and `record_abandoned` with the same `sent_at`.
     void record_sent(base::time_point sent_at);
     /// Records a complete reply from the replica. `baseline` is that of the request's kind.
     void record_reply(base::time_point sent_at, base::time_point now,
                       const latency_baseline& baseline, bool is_failure);
     /// Records that the replica refused the request without running it.
     void record_refusal(base::time_point sent_at, base::time_point now);
+    /// Records that the attempt ended before any byte was sent, for a reason that says nothing about
+    /// the replica's health.
+    void record_not_sent(base::time_point sent_at) { remove_outstanding(sent_at); }
     /// Records that the connection was lost before a complete reply.
     void record_connection_loss(base::time_point sent_at, base::time_point now);
     /// Records that the attempt was dropped without a reply. Its latency is at least the time until
@@ -78,6 +81,8 @@
         m_connect_failures = 0;
         m_last_contact = now;
     }
+    /// Forgets failures to connect that turned out to be rejections at the connection limit.
+    void clear_connect_failures() { m_connect_failures = 0; }
     bool is_unreachable() const { return m_connect_failures > 0; }
     /// Time of the next connection attempt after failures.
     base::time_point reconnect_at() const { return m_reconnect_at; }
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -356,13 +356,17 @@
             return fail_part(item, item.reason);
         // If no byte was sent, the replica has not received the request: sending it is no repeat.
         const bool has_arrived = result.outcome != attempt_outcome::not_sent;
-        if (!has_attempts_left(item) || (has_arrived && !m_dispatcher.may_repeat(item.service)))
+        const bool is_rejected = result.is_connection_rejected;
+        if ((has_arrived && !has_attempts_left(item)) || (has_arrived && !m_dispatcher.may_repeat(item.service)))
             return fail_part(item, item.reason);
-        if (result.outcome == attempt_outcome::not_sent && item.tried.size() == 1)
+        if (!has_arrived)
         {
-            // The service has not received the request yet.
-            item.tried.clear();
-            m_unreached.push_back(ended.target);
+            // The replica has not received the request, so that the attempt does not count.
+            const auto found = std::find(item.tried.begin(), item.tried.end(), ended.target);
+            if (found != item.tried.end())
+                item.tried.erase(found);
+            if (!is_rejected)
+                m_unreached.push_back(ended.target);
         }
         start_attempt(index);
     }
--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -26,7 +26,7 @@
 } // namespace
 
 upstream_connection::upstream_connection(asio::io_context& context, options values,
-                                         std::function<void(bool)> on_open,
+                                         open_handler on_open,
                                          std::function<void(const std::string&)> on_close)
     : m_options(std::move(values)), m_context(context), m_socket(context.get_executor()),
       m_on_open(std::move(on_open)), m_on_close(std::move(on_close))
@@ -34,8 +34,7 @@
 }
 
 std::shared_ptr<upstream_connection>
-upstream_connection::open(asio::io_context& context, options values,
-                          std::function<void(bool)> on_open,
+upstream_connection::open(asio::io_context& context, options values, open_handler on_open,
                           std::function<void(const std::string&)> on_close)
 {
     std::shared_ptr<upstream_connection> result(new upstream_connection(
@@ -68,8 +67,9 @@
     if (code)
     {
         m_on_close = nullptr;
+        on_open(code == asio::error::connection_reset ? connect_outcome::reset
+                                                      : connect_outcome::failed);
         fail(fmt::format("connect failed: {}", code.message()));
-        on_open(false);
         return;
     }
     m_state = state::open;
@@ -81,7 +81,7 @@
     read();
     if (m_on_result)
         write();
-    on_open(true);
+    on_open(connect_outcome::opened);
 }
 
 void upstream_connection::send(upstream_request message, result_handler on_result)
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -42,6 +42,14 @@
     std::string reason;
 };
 
+/// How an attempt to connect ended.
+enum class connect_outcome
+{
+    opened,
+    reset, ///< The other side accepted the connection and reset it at once.
+    failed ///< Nothing listens at the address, or nothing answered in time.
+};
+
 /// Reads continuously, so that a closure by the other side is noticed at once and bytes that belong
 /// to no request are dropped: a late second reply is recognised by its id. A connection that no
 /// longer responds is not detected here: the next reply on it is overdue, and the owner closes the
@@ -60,11 +68,13 @@
     };
 
     using result_handler = std::function<void(const upstream_result&)>;
+    using open_handler = std::function<void(connect_outcome)>;
 
-    /// Starts to connect. `on_open` is called once, with whether the connection is established;
-    /// `on_close` is called once after that, when an open connection ends, with the reason.
+    /// Starts to connect. `on_open` is called once, before the result of a request that waits for
+    /// the connection; `on_close` is called once after that, when an open connection ends, with the
+    /// reason.
     static std::shared_ptr<upstream_connection>
-    open(asio::io_context& context, options values, std::function<void(bool)> on_open,
+    open(asio::io_context& context, options values, open_handler on_open,
          std::function<void(const std::string&)> on_close);
 
     /// Sends a request, at once or when the connection is established. Call it only while
@@ -92,8 +102,7 @@
         closed
     };
 
-    upstream_connection(asio::io_context& context, options values,
-                        std::function<void(bool)> on_open,
+    upstream_connection(asio::io_context& context, options values, open_handler on_open,
                         std::function<void(const std::string&)> on_close);
     void connect();
     void on_connected(const boost::system::error_code& code);
@@ -119,7 +128,7 @@
     beast::flat_buffer m_buffer;
     std::optional<reply_parser> m_parser;
     state m_state = state::connecting;
-    std::function<void(bool)> m_on_open;
+    open_handler m_on_open;
     std::function<void(const std::string&)> m_on_close;
     // Set while a request is in flight.
     result_handler m_on_result;
