Forwarding: Follow replicas that announce their stop or want no requests

A replica that leaves says so in all its answers (Server-Leaving), and one that refuses may say for how long it wants nothing (Retry-After with 503). The program read neither, so a VM without the store went on sending to a leaving replica, and retries and hedges reached a closed one. Change: the adapter decodes both; Server-Leaving is not passed on. A leaving replica is not ready for this incarnation, whatever the registry says. A closed replica is not chosen until its time ends, and then gets one request at a time until one has succeeded. A request whose services are all closed is refused at once, with a Retry-After by the first opening. An answer of another replica at the address (421) says nothing. Log lines replica_leaving and replica_closed, two counters. The stand-in plays both. Result: five dispatcher tests, two of the decoder and two with a real process; without the dispatcher's record of the announcements three of the five fail (the other two then had no bound on their loops and were not run; they have one now). Unit tests of the touched parts and the 25 tests of gateway_change_test and gateway_path_test pass.

--- a/source/forwarding/attempt.hpp
+++ b/source/forwarding/attempt.hpp
@@ -69,6 +69,10 @@
     attempt_outcome outcome = attempt_outcome::lost;
     replica_reply reply;
     std::optional<load_report> load;
+    /// The replica announces that it is about to stop.
+    bool is_leaving = false;
+    /// How long the replica wants no requests from this VM.
+    std::optional<std::chrono::milliseconds> closed_for;
     /// With `not_sent`: the replica has reached its connection limit.
     bool is_connection_rejected = false;
     /// Why there is no usable reply.
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -138,6 +138,8 @@
         std::shared_ptr<replica> target;
         /// Some live replica has no connection available.
         bool is_saturated = false;
+        /// Some live replica wants no requests for now.
+        bool is_closed = false;
     };
 
     /// Returns the replica with the lowest estimated cost. A suspect replica is returned only when
@@ -153,6 +155,11 @@
             if (!candidate->is_ready() || candidate->is_down(now) ||
                 std::find(excluded.begin(), excluded.end(), candidate) != excluded.end())
                 continue;
+            if (candidate->is_closed(now))
+            {
+                result.is_closed = true;
+                continue;
+            }
             const connection_availability availability = m_transport.availability_of(*candidate);
             if (availability == connection_availability::none)
             {
@@ -168,13 +175,34 @@
         return result;
     }
 
+    /// Whether some replica of the service takes requests now.
     bool has_live_replica(const std::string& service) const
     {
         const base::time_point now = m_clock.now();
         const auto& candidates = m_directory.replicas_of(service);
         return std::any_of(candidates.begin(), candidates.end(),
-                           [now](const std::shared_ptr<replica>& candidate)
-                           { return candidate->is_ready() && !candidate->is_down(now); });
+                           [now](const std::shared_ptr<replica>& candidate) {
+                               return candidate->is_ready() && !candidate->is_down(now) &&
+                                      !candidate->is_closed(now);
+                           });
+    }
+
+    /// When the first replica of the service that wants no requests for now takes them again. Empty
+    /// when there is none, or when another one takes requests.
+    std::optional<base::time_point> find_reopening(const std::string& service) const
+    {
+        const base::time_point now = m_clock.now();
+        std::optional<base::time_point> result;
+        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
+        {
+            if (!candidate->is_ready() || candidate->is_down(now))
+                continue;
+            if (!candidate->is_closed(now))
+                return std::nullopt;
+            if (!result || candidate->closed_until() < *result)
+                result = candidate->closed_until();
+        }
+        return result;
     }
 
     void send(const std::shared_ptr<attempt_type>& next)
@@ -240,12 +268,19 @@
     }
 
     /// Returns how long a refused caller should wait before its next request: short enough to leave
-    /// time for an attempt, and with jitter, so that callers refused at the same time do not retry
-    /// at the same time.
-    std::chrono::milliseconds choose_retry_after(std::chrono::milliseconds deadline)
+    /// time for an attempt, but not before `reopening`, and with jitter, so that callers refused at
+    /// the same time do not retry at the same time.
+    std::chrono::milliseconds choose_retry_after(std::chrono::milliseconds deadline,
+                                                 std::optional<base::time_point> reopening)
     {
-        const std::chrono::milliseconds min_wait = deadline / min_retry_after_divisor;
-        const std::chrono::milliseconds max_wait = deadline / max_retry_after_divisor;
+        std::chrono::milliseconds min_wait = deadline / min_retry_after_divisor;
+        std::chrono::milliseconds max_wait = deadline / max_retry_after_divisor;
+        if (reopening && *reopening > m_clock.now() + min_wait)
+        {
+            max_wait -= min_wait;
+            min_wait = std::chrono::ceil<std::chrono::milliseconds>(*reopening - m_clock.now());
+            max_wait += min_wait;
+        }
         const auto jitter = static_cast<std::uint64_t>((max_wait - min_wait).count());
         return min_wait + std::chrono::milliseconds{m_random.below(jitter + 1)};
     }
@@ -329,6 +364,25 @@
         }
         if (result.load)
             target.record_load(*result.load, now);
+        record_announcements(target, result);
+    }
+
+    // Records what the replica says about itself. Another replica at its address says nothing about
+    // it.
+    void record_announcements(replica& target, const attempt_result& result)
+    {
+        if (result.outcome == attempt_outcome::misplaced)
+            return;
+        if (result.is_leaving && !target.is_leaving())
+        {
+            target.record_leaving();
+            m_observer.on_replica_leaving(target);
+        }
+        if (result.closed_for)
+        {
+            target.record_closed(m_clock.now() + *result.closed_for);
+            m_observer.on_replica_closed(target, *result.closed_for);
+        }
     }
 
     void drop(const std::shared_ptr<attempt_type>& given_up)
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -98,6 +98,7 @@
     m_failure_at = now;
     if (is_failure)
         return;
+    m_is_reopening = now < m_closed_until;
     m_backoff_count = 0;
     m_avoid_until = now;
     update_latency_ratio(now - sent_at, now, baseline);
@@ -122,6 +123,12 @@
     back_off(now, initial_refusal_backoff);
 }
 
+void replica::record_closed(base::time_point end)
+{
+    m_closed_until = std::max(m_closed_until, end);
+    m_is_reopening = true;
+}
+
 void replica::record_connection_loss(base::time_point sent_at, base::time_point now)
 {
     remove_outstanding(sent_at);
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -43,23 +43,25 @@
     /// Adopts a newer registry entry of the same incarnation.
     void update(registration registry_entry, base::time_point now);
 
-    /// Whether the replica is listed in the registry and not draining.
-    bool is_ready() const { return m_is_listed && !m_registry_entry.is_draining; }
+    /// Whether the replica is listed in the registry and not about to stop, as far as the registry
+    /// or the replica itself says.
+    bool is_ready() const { return m_is_listed && !m_registry_entry.is_draining && !m_is_leaving; }
     void set_listed(bool is_listed) { m_is_listed = is_listed; }
     /// Whether the registry entry is missing but may come back, for example after an outage.
     bool is_unconfirmed() const { return m_is_unconfirmed; }
     void set_unconfirmed(bool is_unconfirmed) { m_is_unconfirmed = is_unconfirmed; }
 
     /// Records that an attempt was sent. Each call must be followed by one of `record_reply`,
-    /// `record_refusal`, `record_not_sent`, `record_connection_loss` and `record_abandoned` with the same `sent_at`.
+    /// `record_refusal`, `record_not_sent`, `record_connection_loss` and `record_abandoned` with
+    /// the same `sent_at`.
     void record_sent(base::time_point sent_at);
     /// Records a complete reply from the replica. `baseline` is that of the request's kind.
     void record_reply(base::time_point sent_at, base::time_point now,
                       const latency_baseline& baseline, bool is_failure);
     /// Records that the replica refused the request without running it.
     void record_refusal(base::time_point sent_at, base::time_point now);
-    /// Records that the attempt ended before any byte was sent, for a reason that says nothing about
-    /// the replica's health.
+    /// Records that the attempt ended before any byte was sent, for a reason that says nothing
+    /// about the replica's health.
     void record_not_sent(base::time_point sent_at) { remove_outstanding(sent_at); }
     /// Records that the connection was lost before a complete reply.
     void record_connection_loss(base::time_point sent_at, base::time_point now);
@@ -69,6 +71,24 @@
                           const latency_baseline& baseline);
     void record_load(const load_report& report, base::time_point now);
 
+    /// Records that the replica announced in a reply that it is about to stop. Holds for this
+    /// incarnation, whatever the registry says: the registry may be out of reach or late.
+    void record_leaving() { m_is_leaving = true; }
+    bool is_leaving() const { return m_is_leaving; }
+
+    /// Records that the replica wants no requests from this VM until `end`. An earlier end of a
+    /// later reply does not shorten the time.
+    void record_closed(base::time_point end);
+    /// Whether a new request must not be sent now: the replica wants none, or did so before and has
+    /// not yet answered the one request that checks whether it serves again. All VMs that waited
+    /// return at the same time, so each starts with one.
+    bool is_closed(base::time_point now) const
+    {
+        return now < m_closed_until || (m_is_reopening && !m_outstanding.empty());
+    }
+    /// End of the time for which the replica wants no requests.
+    base::time_point closed_until() const { return m_closed_until; }
+
     /// Records that another replica answered at this address: this one no longer exists, even if
     /// the registry still lists it.
     void record_replaced() { m_is_replaced = true; }
@@ -117,6 +137,10 @@
     bool m_is_listed = true;
     bool m_is_unconfirmed = false;
     bool m_is_replaced = false;
+    bool m_is_leaving = false;
+    base::time_point m_closed_until{};
+    // Whether no request has succeeded since m_closed_until.
+    bool m_is_reopening = false;
     // End of the slow phase after the replica's start.
     base::time_point m_warm_up_end{};
     // Send times of outstanding attempts, oldest first.
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -198,7 +198,8 @@
         if (!choice.target)
         {
             if (item.open_attempts == 0)
-                fail_part(item, "no live replica");
+                fail_part(item, choice.is_closed ? "its replicas want no requests for now"
+                                                 : "no live replica");
             return;
         }
         send(index, choice.target, is_repeat);
@@ -357,7 +358,8 @@
         // If no byte was sent, the replica has not received the request: sending it is no repeat.
         const bool has_arrived = result.outcome != attempt_outcome::not_sent;
         const bool is_rejected = result.is_connection_rejected;
-        if ((has_arrived && !has_attempts_left(item)) || (has_arrived && !m_dispatcher.may_repeat(item.service)))
+        if ((has_arrived && !has_attempts_left(item)) ||
+            (has_arrived && !m_dispatcher.may_repeat(item.service)))
             return fail_part(item, item.reason);
         if (!has_arrived)
         {
@@ -473,11 +475,26 @@
     {
         answer result;
         result.kind = answer_kind::not_run;
-        result.retry_after = m_dispatcher.choose_retry_after(m_request.deadline);
+        result.retry_after = m_dispatcher.choose_retry_after(m_request.deadline, find_reopening());
         result.reason = std::move(reason);
         finish(std::move(result));
     }
 
+    // When the last of the services that have no replica for this request has one again.
+    std::optional<base::time_point> find_reopening() const
+    {
+        std::optional<base::time_point> result;
+        for (const query_part& item : m_parts)
+        {
+            const auto reopening = item.state == part_state::answered
+                                       ? std::nullopt
+                                       : m_dispatcher.find_reopening(item.service);
+            if (reopening && (!result || *reopening > *result))
+                result = reopening;
+        }
+        return result;
+    }
+
     void finish(answer result)
     {
         m_is_finished = true;
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -207,6 +207,10 @@
     const unsigned status = behaviour.refuses ? 503 : behaviour.status;
     std::string text = fmt::format("HTTP/1.1 {} Status\r\nRequest-Id: {}\r\nServer-Load: 1,0,2\r\n",
                                    status, std::string(message["Request-Id"]));
+    if (behaviour.refuses && !behaviour.retry_after.empty())
+        text += fmt::format("Retry-After: {}\r\n", behaviour.retry_after);
+    if (behaviour.is_leaving)
+        text += "Server-Leaving: 1\r\n";
     if (behaviour.refuses || status == misdirected)
         text += "Not-Executed: 1\r\n";
     else
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -27,6 +27,10 @@
     unsigned status = 200;
     /// Answers 503 with a header field which states that the request was not run.
     bool refuses = false;
+    /// Value of Retry-After in refusals; none when empty.
+    std::string retry_after = {};
+    /// States in every answer that the replica is about to stop.
+    bool is_leaving = false;
     /// Reads and runs requests but never answers.
     bool never_answers = false;
     /// Runs requests, then closes the connection without an answer.
--- a/tests/gateway/gateway_change_test.cpp
+++ b/tests/gateway/gateway_change_test.cpp
@@ -118,6 +118,58 @@
     EXPECT_EQ(m_fleet.replica("single-0").arrivals(), before);
 }
 
+// Guards against new requests for a replica that has announced its stop in a reply, while the store
+// is out of reach and its entry still says that it is ready.
+TEST_F(gateway_change_test, replica_that_announces_its_stop_gets_no_new_work_without_the_store)
+{
+    m_fleet.store().set_mode(standins::store_mode::refusing);
+    m_fleet.store().cut_connections();
+    m_fleet.change_replica("single-0", [](auto& each) { each.is_leaving = true; });
+    const auto has_announced = [this]
+    {
+        status_of("/one/q");
+        return m_fleet.log(0).find("replica_leaving") != std::string::npos;
+    };
+    ASSERT_TRUE(wait_until(5s, has_announced));
+    const std::uint64_t arrivals = m_fleet.replica("single-0").arrivals();
+    for (int round = 0; round < 30; ++round)
+        EXPECT_EQ(status_of("/one/q"), 200U);
+    EXPECT_EQ(m_fleet.replica("single-0").arrivals(), arrivals);
+}
+
+// Guards against requests for a replica within the time for which it wants none, and against a
+// caller that is told to come back too early.
+TEST_F(gateway_change_test, replica_that_closes_for_a_time_gets_no_requests_meanwhile)
+{
+    for (const char* id : {"single-0", "single-1"})
+        m_fleet.change_replica(id,
+                               [](auto& each)
+                               {
+                                   each.refuses = true;
+                                   each.retry_after = "2.5";
+                               });
+    const auto start = std::chrono::steady_clock::now();
+    ASSERT_TRUE(wait_until(1s,
+                           [this]
+                           {
+                               status_of("/one/q");
+                               return m_fleet.arrivals("single") >= 2;
+                           }));
+    for (const char* id : {"single-0", "single-1"})
+        m_fleet.change_replica(id, [](auto& each) { each.refuses = false; });
+    caller_message message;
+    message.path = "/one/q";
+    const caller_answer refused = m_fleet.send(0, message);
+    EXPECT_EQ(refused.status, 503U);
+    const auto field = refused.fields.find("Retry-After");
+    ASSERT_NE(field, refused.fields.end());
+    EXPECT_GT(std::stod(field->second), 1.0);
+    while (std::chrono::steady_clock::now() < start + 2s)
+        EXPECT_EQ(status_of("/one/q"), 503U);
+    EXPECT_EQ(m_fleet.arrivals("single"), 2U);
+    EXPECT_TRUE(wait_until(3s, [this] { return status_of("/one/q") == 200U; }));
+}
+
 // Guards against a malformed entry of another writer that makes the valid entries unusable.
 TEST_F(gateway_change_test, malformed_entries_are_ignored_and_others_stay_in_use)
 {
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -36,6 +36,8 @@
     void on_attempt_failed(const Run&, const std::string&, const Attempt&, const attempt_result&)
     {
     }
+    void on_replica_leaving(const replica&) { ++leaving; }
+    void on_replica_closed(const replica&, milliseconds) { ++closures; }
     template<class Run>
     void on_no_hedge(const Run&, const std::string&, std::string_view reason)
     {
@@ -45,6 +47,8 @@
 
     int hedges = 0;
     int budget_refusals = 0;
+    int leaving = 0;
+    int closures = 0;
 };
 
 using test_dispatcher =
@@ -59,6 +63,8 @@
     unsigned status = 200;
     bool is_silent = false;
     std::size_t connections = 4;
+    bool is_leaving = false;
+    std::optional<milliseconds> closed_for = {};
 };
 
 class fake_transport
@@ -87,6 +93,8 @@
         attempt_result result;
         result.outcome = behaviour.outcome;
         result.reply.status = behaviour.status;
+        result.is_leaving = behaviour.is_leaving;
+        result.closed_for = behaviour.closed_for;
         result.reply.receipt = "receipt of " + id;
         result.reply.body = "0123456789abcde" + id.substr(0, 1);
         m_replies.emplace(m_clock.now() + behaviour.latency, std::pair(next, result));
@@ -351,6 +359,113 @@
     EXPECT_EQ(m_transport.sent.size(), 2U);
 }
 
+// Guards against new requests to a replica that stops: the registry's entry may be late, or out of
+// reach.
+TEST_F(dispatcher_test, replica_that_announces_its_stop_gets_no_new_requests)
+{
+    add_replicas({{"a", 2}});
+    adopt(single(true));
+    m_transport.behaviours["a1"].is_leaving = true;
+    warm_up();
+    for (int index = 0; index < 20; ++index)
+        EXPECT_EQ(submit_and_wait().kind, answer_kind::relayed);
+    EXPECT_EQ(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 0);
+    EXPECT_EQ(m_observer.leaving, 1);
+    // The registry still lists it as ready.
+    add_replicas({{"a", 2}});
+    submit_and_wait();
+    EXPECT_EQ(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 0);
+}
+
+// Guards against a restarted replica that stays unused: the announcement holds for one start of it
+// only.
+TEST_F(dispatcher_test, replica_that_started_again_after_its_announcement_is_used)
+{
+    add_replicas({{"a", 1}});
+    adopt(single(true));
+    m_transport.behaviours["a1"].is_leaving = true;
+    submit_and_wait();
+    EXPECT_EQ(submit_and_wait().kind, answer_kind::not_run);
+    m_transport.behaviours["a1"].is_leaving = false;
+    registration again = m_directory.replicas().at("a1")->registry_entry();
+    again.started_at = 5s;
+    m_directory.apply_entry(again, m_clock.now());
+    EXPECT_EQ(submit_and_wait().kind, answer_kind::relayed);
+}
+
+// Guards against requests, retries and hedges to a replica that wants none for some time.
+TEST_F(dispatcher_test, replica_that_closes_for_a_time_gets_no_requests_until_its_end)
+{
+    add_replicas({{"a", 2}});
+    adopt(single(true));
+    warm_up();
+    m_transport.behaviours["a1"].outcome = attempt_outcome::refused;
+    m_transport.behaviours["a1"].closed_for = 10s;
+    for (int index = 0; index < 50 && m_observer.closures == 0; ++index)
+        submit_and_wait();
+    ASSERT_EQ(m_observer.closures, 1);
+    const base::time_point closed_at = m_clock.now();
+    m_transport.sent.clear();
+    m_transport.behaviours["a2"].is_silent = true;
+    for (int index = 0; index < 3; ++index)
+        submit_and_wait();
+    m_transport.behaviours["a2"].is_silent = false;
+    while (m_clock.now() < closed_at + 7s)
+        submit_and_wait();
+    EXPECT_EQ(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 0);
+    m_transport.behaviours["a1"] = {};
+    m_transport.behaviours["a2"].outcome = attempt_outcome::refused;
+    run_for(4s);
+    EXPECT_EQ(submit_and_wait().kind, answer_kind::relayed);
+    EXPECT_GT(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 0);
+}
+
+// Guards against all requests that waited being sent at the same moment to a replica that opens
+// again: it gets one until one has succeeded.
+TEST_F(dispatcher_test, replica_that_opens_again_gets_one_request_first)
+{
+    add_replicas({{"a", 1}});
+    adopt(single(true));
+    m_transport.behaviours["a1"].outcome = attempt_outcome::refused;
+    m_transport.behaviours["a1"].closed_for = 2s;
+    submit_and_wait();
+    m_transport.behaviours["a1"] = {};
+    run_for(3s);
+    m_transport.sent.clear();
+    for (int index = 0; index < 3; ++index)
+        submit();
+    EXPECT_EQ(m_transport.sent.size(), 1U);
+    run_for(100ms);
+    for (int index = 0; index < 3; ++index)
+        submit();
+    EXPECT_EQ(m_transport.sent.size(), 4U);
+}
+
+// Guards against a caller that is told to come back before any replica takes its request, and
+// against a wait for a deadline that cannot be met.
+TEST_F(dispatcher_test, request_is_refused_until_the_first_closed_replica_opens)
+{
+    add_replicas({{"a", 2}});
+    adopt(single(true));
+    for (const char* id : {"a1", "a2"})
+        m_transport.behaviours[id].outcome = attempt_outcome::refused;
+    m_transport.behaviours["a1"].closed_for = 9s;
+    m_transport.behaviours["a2"].closed_for = 5s;
+    for (int index = 0; index < 50 && m_observer.closures < 2; ++index)
+        submit_and_wait();
+    ASSERT_EQ(m_observer.closures, 2);
+    m_transport.sent.clear();
+    const base::time_point refused_at = m_clock.now();
+    const answer result = submit_and_wait();
+    EXPECT_EQ(result.kind, answer_kind::not_run);
+    EXPECT_EQ(m_latency, base::duration{0});
+    EXPECT_TRUE(m_transport.sent.empty());
+    ASSERT_TRUE(result.retry_after);
+    const base::time_point opens_at = m_directory.replicas().at("a2")->closed_until();
+    EXPECT_GE(refused_at + *result.retry_after, opens_at);
+    EXPECT_LE(refused_at + *result.retry_after, opens_at + 250ms);
+}
+
 // Guards against more attempts than the route allows.
 TEST_F(dispatcher_test, attempts_stay_within_limit_of_route)
 {
--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -218,6 +218,59 @@
     EXPECT_FALSE(forwarded_message::create(received, reason));
 }
 
+/// Decodes one reply of a replica.
+class replica_reply_test : public testing::Test
+{
+protected:
+    static forwarding::attempt_result decode(const std::string& head)
+    {
+        http::reply_parser parser;
+        parser.eager(true);
+        boost::system::error_code code;
+        const std::string text = "HTTP/1.1 " + head + "Content-Length: 0\r\n\r\n";
+        parser.put(boost::asio::buffer(text), code);
+        EXPECT_FALSE(code) << text;
+        http::upstream_result received;
+        received.progress = http::exchange_progress::answered;
+        received.reply = &parser;
+        return decode_reply(received, reply_use::relayed);
+    }
+
+    static std::optional<std::chrono::milliseconds> closed_for(const std::string& value)
+    {
+        return decode("503 x\r\nNot-Executed: 1\r\nRetry-After: " + value + "\r\n").closed_for;
+    }
+};
+
+// Guards against a time that is read in a wrong unit, and against values that overflow or are no
+// number of seconds.
+TEST_F(replica_reply_test, time_without_requests_is_read_as_seconds_with_fractions)
+{
+    EXPECT_EQ(closed_for("2"), 2'000ms);
+    EXPECT_EQ(closed_for(" 0.25 "), 250ms);
+    EXPECT_EQ(closed_for("0"), 0ms);
+    EXPECT_EQ(closed_for("1e300"), 86'400'000ms);
+    for (const char* value :
+         {"-1", "soon", "1s", "nan", "inf", "Wed, 21 Oct 2026 07:28:00 GMT", "1,5"})
+    {
+        EXPECT_FALSE(closed_for(value)) << value;
+    }
+    EXPECT_NE(decode("503 x\r\nRetry-After: soon\r\n").reason.find("soon"), std::string::npos);
+    EXPECT_FALSE(decode("500 x\r\nRetry-After: 2\r\n").closed_for);
+}
+
+// Guards against an announcement that is missed or read from another value, and against one that is
+// passed on to the caller, whom it does not concern.
+TEST_F(replica_reply_test, announcement_of_a_stop_is_read_and_not_passed_on)
+{
+    const auto leaving = decode("200 x\r\nServer-Leaving: 1\r\nOther: 2\r\n");
+    EXPECT_TRUE(leaving.is_leaving);
+    ASSERT_EQ(leaving.reply.fields.size(), 1U);
+    EXPECT_EQ(leaving.reply.fields.front().first, "Other");
+    EXPECT_FALSE(decode("200 x\r\nServer-Leaving: 0\r\n").is_leaving);
+    EXPECT_FALSE(decode("200 x\r\n").is_leaving);
+}
+
 class read_plan_test : public testing::Test
 {
 protected:
