Platform: Survive a store that comes back from an older copy

Cause: the users' pages say that the store may come back from a copy some seconds old (Store-Era rises by one): what was written since is gone, and revisions are given out again. The program compared revisions alone, so that after such a return a follower missed the new changes whose revisions it thought it knew and kept lost objects, relays served two histories, the list of VMs lost entries (larger shares for the others) and a replica known to drain was used again. Change: a position of the store is era and revision. Each answer's era is read; a follower lists again when it rises and uses no source of an earlier era, which it learns from any of the VM's three clients; mirrors state the era and end the watches of the one before. After a rise: entries missing in the copy stay for the two seconds in which live replicas write again; a removal or drain seen before still counts (draining holds for the incarnation, removed replicas are remembered for five minutes, one that the copy lists again is used after 5 s if its entry stays); the VMs write their entries again within a second and the list does not shrink for 15 s. A configuration that is not newer was never adopted. Line store_restored, gauge ospreystair_store_era. Result: nine tests. Not done: the product's own platform service and its claims have no eras.

--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -67,7 +67,10 @@
 
 void replica::update(registration registry_entry, base::time_point now)
 {
+    const bool was_draining = m_registry_entry.is_draining;
     m_registry_entry = std::move(registry_entry);
+    // A replica that drains stops; an entry that says otherwise is older.
+    m_registry_entry.is_draining = m_registry_entry.is_draining || was_draining;
     m_warm_up_end = now + m_registry_entry.warm_up_left;
     m_is_listed = true;
     m_is_unconfirmed = false;
--- a/source/forwarding/replica_directory.cpp
+++ b/source/forwarding/replica_directory.cpp
@@ -19,11 +19,15 @@
 void replica_directory::apply_listing(const std::vector<registration>& listing,
                                       base::time_point now)
 {
+    const bool is_restored = std::exchange(m_is_restored, false);
     std::set<std::string> listed;
     for (const registration& entry : listing)
     {
         listed.insert(entry.id);
-        apply_entry(entry, now);
+        if (is_restored && is_from_copy(entry))
+            m_reappearances[entry.id] = {entry, now + reappearance_delay};
+        else
+            apply_entry(entry, now);
     }
     std::vector<std::string> missing;
     for (const auto& [id, known] : m_replicas)
@@ -34,8 +38,24 @@
     m_has_listing = true;
 }
 
+bool replica_directory::is_from_copy(const registration& entry) const
+{
+    const auto known = m_replicas.find(entry.id);
+    if (known != m_replicas.end())
+        return m_removal_times.contains(entry.id) &&
+               known->second->registry_entry().is_same_incarnation(entry);
+    const auto departed = m_departures.find(entry.id);
+    return departed != m_departures.end() && departed->second.entry.is_same_incarnation(entry);
+}
+
 void replica_directory::apply_entry(const registration& entry, base::time_point now)
 {
+    m_reappearances.erase(entry.id);
+    const auto departed = m_departures.find(entry.id);
+    // A replica that was draining does not come back without a new start.
+    if (departed != m_departures.end() && departed->second.entry.is_draining &&
+        departed->second.entry.is_same_incarnation(entry))
+        return;
     const auto found = m_replicas.find(entry.id);
     if (found != m_replicas.end() && found->second->registry_entry().is_same_incarnation(entry))
     {
@@ -44,7 +64,8 @@
         return;
     }
     if (found != m_replicas.end())
-        remove(entry.id);
+        remove(entry.id, now);
+    m_departures.erase(entry.id);
     auto added = std::make_shared<replica>(entry, now);
     m_replicas[entry.id] = added;
     m_by_service[entry.service].push_back(added);
@@ -53,6 +74,7 @@
 
 void replica_directory::apply_removal(const std::string& id, base::time_point now)
 {
+    m_reappearances.erase(id);
     const auto found = m_replicas.find(id);
     if (found == m_replicas.end())
         return;
@@ -75,26 +97,45 @@
     m_reregistration_end = now + reregistration_time;
 }
 
+void replica_directory::record_restoration(base::time_point now)
+{
+    m_is_restored = true;
+    m_reregistration_end = now + reregistration_time;
+}
+
+void replica_directory::add_due_reappearances(base::time_point now)
+{
+    std::vector<registration> due;
+    for (const auto& [id, item] : m_reappearances)
+        if (now >= item.due_at)
+            due.push_back(item.entry);
+    for (const registration& entry : due)
+        apply_entry(entry, now);
+}
+
 void replica_directory::remove_expired(base::time_point now)
 {
     if (m_is_registry_down)
         return;
+    add_due_reappearances(now);
     std::vector<std::string> expired;
     for (const auto& [id, until] : m_removal_times)
         if (now >= until)
             expired.push_back(id);
     for (const std::string& id : expired)
-        remove(id);
+        remove(id, now);
 }
 
 std::optional<base::time_point> replica_directory::next_expiry() const
 {
-    if (m_is_registry_down || m_removal_times.empty())
+    if (m_is_registry_down)
         return std::nullopt;
-    const auto first = std::min_element(m_removal_times.begin(), m_removal_times.end(),
-                                        [](const auto& left, const auto& right)
-                                        { return left.second < right.second; });
-    return first->second;
+    std::optional<base::time_point> result;
+    for (const auto& [id, until] : m_removal_times)
+        result = result ? std::min(*result, until) : until;
+    for (const auto& [id, item] : m_reappearances)
+        result = result ? std::min(*result, item.due_at) : item.due_at;
+    return result;
 }
 
 const std::vector<std::shared_ptr<replica>>&
@@ -105,10 +146,15 @@
     return found == m_by_service.end() ? none : found->second;
 }
 
-void replica_directory::remove(const std::string& id)
+void replica_directory::remove(const std::string& id, base::time_point now)
 {
     const auto found = m_replicas.find(id);
     const std::shared_ptr<replica> removed = found->second;
+    std::erase_if(m_departures, [now](const auto& item)
+                  { return now - item.second.removed_at > departure_memory; });
+    departure& departed = m_departures[id];
+    departed = {removed->registry_entry(), now};
+    departed.entry.is_draining = departed.entry.is_draining || removed->is_leaving();
     m_replicas.erase(found);
     m_removal_times.erase(id);
     const auto service = m_by_service.find(removed->registry_entry().service);
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -53,6 +53,17 @@
     void record_outage();
     /// Records that the registry is reachable again. Must be called before its list is applied.
     void record_recovery(base::time_point now);
+    /// Records that the registry came back from a copy that is some seconds old. Must be called
+    /// before its list is applied. Live replicas write their entries again, as after an outage. An
+    /// entry that this VM has already seen removed counts only when it stays for
+    /// `reappearance_delay`; that of a replica that was draining does not count at all.
+    void record_restoration(base::time_point now);
+    /// Time within which an entry that its replica does not renew expires. Of the magnitude of
+    /// three registration intervals.
+    static constexpr std::chrono::milliseconds reappearance_delay{5'000};
+    /// How long removed replicas are remembered; longer than a copy of the registry is old.
+    static constexpr std::chrono::minutes departure_memory{5};
+
     /// Removes the replicas that have been unconfirmed for too long.
     void remove_expired(base::time_point now);
     /// When `remove_expired` is due next; empty without unconfirmed replicas or in an outage.
@@ -64,13 +75,33 @@
     bool has_listing() const { return m_has_listing; }
 
 private:
-    void remove(const std::string& id);
+    struct departure
+    {
+        registration entry;
+        base::time_point removed_at{};
+    };
+    struct reappearance
+    {
+        registration entry;
+        base::time_point due_at{};
+    };
+
+    void remove(const std::string& id, base::time_point now);
+    // Whether the entry may be one that the registry has brought back from an older copy.
+    bool is_from_copy(const registration& entry) const;
+    void add_due_reappearances(base::time_point now);
 
     std::chrono::milliseconds m_removal_delay;
     replica_callback m_on_added;
     replica_callback m_on_removed;
     bool m_has_listing = false;
     bool m_is_registry_down = false;
+    // Whether the next list comes from an older copy.
+    bool m_is_restored = false;
+    // Removed replicas, by id.
+    std::map<std::string, departure> m_departures;
+    // Entries from an older copy that are not used yet, by id.
+    std::map<std::string, reappearance> m_reappearances;
     // End of the time for replicas to register again after the last outage.
     base::time_point m_reregistration_end{};
     // When each unconfirmed replica is removed, by id.
--- a/standins/users_platform/store_standin.cpp
+++ b/standins/users_platform/store_standin.cpp
@@ -100,6 +100,32 @@
     m_history_start = m_revision;
 }
 
+void store_standin::keep_copy()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_copy = m_objects;
+    m_copy_revision = m_revision;
+}
+
+void store_standin::restore_copy()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_objects = m_copy;
+        m_revision = m_copy_revision;
+        m_history.clear();
+        m_history_start = m_revision;
+        ++m_era;
+    }
+    cut_connections();
+}
+
+std::uint64_t store_standin::era() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_era;
+}
+
 void store_standin::cut_connections()
 {
     {
@@ -124,6 +150,15 @@
 
 http::awaitable<http::response> store_standin::answer(const http::request& message,
                                                       std::shared_ptr<http::exchange_context> peer)
+{
+    http::response reply = co_await answer_call(message, std::move(peer));
+    reply.set("Store-Era", fmt::format("{}", era()));
+    co_return reply;
+}
+
+http::awaitable<http::response>
+store_standin::answer_call(const http::request& message,
+                           std::shared_ptr<http::exchange_context> peer)
 {
     const std::string target(message.target());
     const bool is_change = message.method() != http::verb::get;
@@ -191,7 +226,7 @@
 std::optional<http::response> store_standin::find_changes(const std::string& kind,
                                                           std::uint64_t revision)
 {
-    if (revision < m_history_start)
+    if (revision < m_history_start || revision > m_revision)
         return make_reply(http::status::gone, Json::objectValue);
     Json::Value events(Json::arrayValue);
     std::uint64_t last_revision = m_revision;
--- a/standins/users_platform/store_standin.hpp
+++ b/standins/users_platform/store_standin.hpp
@@ -55,6 +55,12 @@
     void set_losing_answers(bool is_losing);
     /// Drops the history: watches from an earlier revision get 410.
     void drop_history();
+    /// Keeps a copy of all objects for `restore_copy`.
+    void keep_copy();
+    /// Comes back from the copy: loses what was written since, gives out the revisions since then
+    /// again, and raises the era. Closes all connections.
+    void restore_copy();
+    std::uint64_t era() const;
     /// Ends waiting watches and closes all connections.
     void cut_connections();
 
@@ -82,6 +88,8 @@
 
     http::awaitable<http::response> answer(const http::request& message,
                                            std::shared_ptr<http::exchange_context> peer);
+    http::awaitable<http::response> answer_call(const http::request& message,
+                                                std::shared_ptr<http::exchange_context> peer);
     http::awaitable<void> wait(std::chrono::milliseconds time);
     http::awaitable<http::response> answer_watch(std::string kind, std::uint64_t revision,
                                                  std::chrono::milliseconds wait_time,
@@ -103,6 +111,9 @@
     std::deque<change> m_history;
     std::uint64_t m_revision = 1;
     std::uint64_t m_history_start = 0;
+    std::map<std::string, std::map<std::string, object>> m_copy;
+    std::uint64_t m_copy_revision = 1;
+    std::uint64_t m_era = 1;
     store_mode m_mode = store_mode::serving;
     std::chrono::milliseconds m_delay{0};
     bool m_is_losing_answers = false;
--- a/tests/gateway/gateway_change_test.cpp
+++ b/tests/gateway/gateway_change_test.cpp
@@ -87,6 +87,32 @@
     EXPECT_TRUE(wait_until(3s, [this] { return status_of("/new/q") == 200U; }));
 }
 
+// Guards against a configuration that falls back, and against a draining replica that gets requests
+// again, when the store comes back from an older copy.
+TEST_F(gateway_change_test, restored_store_takes_back_neither_configuration_nor_drain)
+{
+    m_fleet.store().keep_copy();
+    add_route("/new/");
+    m_fleet.register_replica("single-0", "draining");
+    ASSERT_TRUE(wait_until(3s, [this] { return status_of("/new/q") == 200U; }));
+    sleep_for(1500ms);
+    const std::uint64_t arrivals = m_fleet.replica("single-0").arrivals();
+    m_fleet.store().restore_copy();
+    ASSERT_TRUE(wait_until(5s, [this]
+                           { return m_fleet.log(0).find("store_restored") != std::string::npos; }));
+    sleep_for(500ms);
+    for (int round = 0; round < 20; ++round)
+    {
+        EXPECT_EQ(status_of("/new/q"), 200U);
+        EXPECT_EQ(status_of("/one/q"), 200U);
+    }
+    EXPECT_EQ(m_fleet.replica("single-0").arrivals(), arrivals);
+    // The operator writes what was lost again, and then a change.
+    m_fleet.store().put("config", "main", m_fleet.configuration());
+    add_route("/newer/");
+    EXPECT_TRUE(wait_until(3s, [this] { return status_of("/newer/q") == 200U; }));
+}
+
 // Guards against new requests for a replica that is draining.
 TEST_F(gateway_change_test, draining_replica_gets_no_new_work)
 {
--- a/tests/gateway/gateway_reads_test.cpp
+++ b/tests/gateway/gateway_reads_test.cpp
@@ -23,27 +23,28 @@
 using platform::object_mirror;
 using platform::read_source;
 using platform::store_object;
+using platform::store_position;
 
 /// Records what a follower reports and keeps a mirror, as the gateway does.
 struct recording_sink
 {
     explicit recording_sink(http::asio::io_context& context) : mirror(context) {}
 
-    void on_listing(const std::vector<store_object>& objects, std::uint64_t revision)
+    void on_listing(const std::vector<store_object>& objects, const store_position& position)
     {
         names.clear();
         for (const store_object& item : objects)
             names.insert(item.name);
-        mirror.apply_listing(objects, revision);
+        mirror.apply_listing(objects, position);
     }
-    void on_changes(const std::vector<store_object>& objects, std::uint64_t revision)
+    void on_changes(const std::vector<store_object>& objects, const store_position& position)
     {
         for (const store_object& item : objects)
             if (item.is_deleted)
                 names.erase(item.name);
             else
                 names.insert(item.name);
-        mirror.apply_changes(objects, revision);
+        mirror.apply_changes(objects, position);
     }
     void on_outage(const base::error&) { ++outages; }
     void on_recovery() { ++recoveries; }
@@ -170,6 +171,46 @@
     EXPECT_TRUE(wait_until(3s, [this] { return !second_vm_knows("one"); }));
 }
 
+// Guards against changes that are missed, and against objects that are kept, when the store comes
+// back from an older copy and gives out its revisions again, also several times.
+TEST_F(gateway_reads_test, store_that_comes_back_from_an_older_copy_is_read_anew)
+{
+    start(m_unreachable_address);
+    ASSERT_TRUE(wait_until(3s, [this] { return second_vm_knows("one"); }));
+    for (int restoration = 1; restoration <= 3; ++restoration)
+    {
+        const std::string suffix = std::to_string(restoration);
+        m_store->keep_copy();
+        m_store->put("servers", "lost" + suffix, Json::objectValue);
+        m_store->put("servers", "lost too" + suffix, Json::objectValue);
+        ASSERT_TRUE(wait_until(3s, [&] { return second_vm_knows("lost too" + suffix); }));
+        m_store->restore_copy();
+        m_store->put("servers", "new" + suffix, Json::objectValue);
+        m_store->put("servers", "newer" + suffix, Json::objectValue);
+        EXPECT_TRUE(wait_until(5s, [&] { return second_vm_knows("newer" + suffix); }));
+        EXPECT_TRUE(second_vm_knows("new" + suffix)) << restoration;
+        EXPECT_FALSE(second_vm_knows("lost" + suffix)) << restoration;
+        EXPECT_FALSE(second_vm_knows("lost too" + suffix)) << restoration;
+        EXPECT_TRUE(second_vm_knows("one"));
+    }
+}
+
+// Guards against a VM that goes back to an earlier era, because the VM it reads from has not heard
+// of the later one yet.
+TEST_F(gateway_reads_test, source_of_an_earlier_era_is_not_used)
+{
+    start(m_unreachable_address);
+    ASSERT_TRUE(wait_until(3s, [this] { return second_vm_knows("one"); }));
+    http::asio::post(m_context, [this] { m_relay_follower->require_era(2); });
+    m_store->put("servers", "two", Json::objectValue);
+    sleep_for(1'000ms);
+    EXPECT_FALSE(second_vm_knows("two"));
+    EXPECT_TRUE(second_vm_knows("one"));
+    m_store->keep_copy();
+    m_store->restore_copy();
+    EXPECT_TRUE(wait_until(5s, [this] { return second_vm_knows("two"); }));
+}
+
 // Guards against a VM that depends on a single other VM: it must read the store when the mirror is
 // unreachable.
 TEST_F(gateway_reads_test, store_is_read_when_the_mirror_is_unreachable)
--- a/tests/gateway/vm_register_test.cpp
+++ b/tests/gateway/vm_register_test.cpp
@@ -114,5 +114,41 @@
     EXPECT_TRUE(m_store->find("ospreystair-vms", "vm0").has_value());
 }
 
+// Guards against shares that become too large after the store came back without the VMs' entries:
+// they write them again at once, and the list does not shrink meanwhile.
+TEST_F(vm_register_test, restored_store_gets_all_entries_again_and_no_list_shrinks)
+{
+    m_store->keep_copy();
+    for (const char* name : {"vm1", "vm2", "vm3"})
+    {
+        m_registers.push_back(make_register(name));
+        m_registers.back()->client().set_era_handler(
+            [known_era = std::uint64_t{1},
+             target = m_registers.back().get()](std::uint64_t era) mutable
+            {
+                if (era > std::exchange(known_era, era))
+                    target->on_store_restored();
+            });
+    }
+    start();
+    const std::set<std::string> all{"vm1", "vm2", "vm3"};
+    ASSERT_TRUE(wait_until(3s, [&] { return list_of("vm1") == all && list_of("vm3") == all; }));
+    m_store->restore_copy();
+    const auto has_all_entries = [this, &all]
+    {
+        return std::all_of(all.begin(), all.end(),
+                           [this](const std::string& name)
+                           { return m_store->find("ospreystair-vms", name).has_value(); });
+    };
+    const auto end = std::chrono::steady_clock::now() + 2s;
+    while (std::chrono::steady_clock::now() < end)
+    {
+        ASSERT_EQ(list_of("vm1"), all);
+        ASSERT_EQ(list_of("vm3"), all);
+        sleep_for(10ms);
+    }
+    EXPECT_TRUE(has_all_entries());
+}
+
 } // namespace
 } // namespace ospreystair::testing_support
--- a/tests/unit/forwarding_replica_test.cpp
+++ b/tests/unit/forwarding_replica_test.cpp
@@ -232,6 +232,73 @@
     EXPECT_TRUE(m_removed.empty());
 }
 
+// Guards against new requests to a replica whose draining entry was lost when the registry came
+// back from an older copy.
+TEST_F(replica_directory_test, draining_replica_stays_so_when_an_older_entry_returns)
+{
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    registration leaving = m_first_entry;
+    leaving.is_draining = true;
+    m_directory.apply_entry(leaving, m_now);
+    m_directory.record_restoration(m_now);
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    EXPECT_FALSE(m_directory.replicas().at("one")->is_ready());
+    EXPECT_TRUE(m_directory.replicas().at("two")->is_ready());
+    m_directory.apply_removal("one", m_now);
+    m_directory.remove_expired(m_now + m_removal_delay);
+    m_directory.record_restoration(m_now + m_removal_delay);
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now + m_removal_delay);
+    m_directory.remove_expired(m_now + 60s);
+    EXPECT_FALSE(m_directory.replicas().contains("one"));
+}
+
+// Guards against the loss of all replicas whose entries are newer than the copy from which the
+// registry came back.
+TEST_F(replica_directory_test, entries_missing_in_an_older_copy_stay_in_use_for_reregistration_time)
+{
+    m_directory.set_removal_delay(100ms);
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    m_directory.record_restoration(m_now);
+    m_directory.apply_listing({}, m_now);
+    m_directory.remove_expired(m_now + replica_directory::reregistration_time - 1ms);
+    EXPECT_EQ(m_directory.replicas().size(), 2U);
+    m_directory.apply_entry(m_first_entry, m_now);
+    m_directory.remove_expired(m_now + replica_directory::reregistration_time);
+    EXPECT_TRUE(m_directory.replicas().contains("one"));
+    EXPECT_FALSE(m_directory.replicas().contains("two"));
+}
+
+// Guards against requests to a replica that is gone, because an older copy of the registry lists it
+// again, and against a live one that stays unused.
+TEST_F(replica_directory_test, removed_replica_in_an_older_copy_is_used_when_its_entry_stays)
+{
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    m_directory.apply_removal("one", m_now);
+    m_directory.apply_removal("two", m_now);
+    m_directory.remove_expired(m_now + m_removal_delay);
+    m_now += m_removal_delay;
+    m_directory.record_restoration(m_now);
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    EXPECT_TRUE(m_directory.replicas().empty());
+    EXPECT_EQ(m_directory.next_expiry(), m_now + replica_directory::reappearance_delay);
+    m_directory.apply_removal("two", m_now);
+    m_directory.remove_expired(m_now + replica_directory::reappearance_delay);
+    EXPECT_TRUE(m_directory.replicas().contains("one"));
+    EXPECT_FALSE(m_directory.replicas().contains("two"));
+}
+
+// Guards against a removal that is forgotten because an older copy still has the entry.
+TEST_F(replica_directory_test, removal_before_a_restoration_still_counts)
+{
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    m_directory.apply_removal("one", m_now);
+    m_directory.record_restoration(m_now);
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    m_directory.remove_expired(m_now + m_removal_delay);
+    EXPECT_FALSE(m_directory.replicas().contains("one"));
+    EXPECT_TRUE(m_directory.replicas().contains("two"));
+}
+
 // Guards against a replica that stays listed under its old service after its entry names another.
 TEST_F(replica_directory_test, entry_that_moves_to_other_service_leaves_old_one)
 {
--- a/tests/unit/platform_mirror_test.cpp
+++ b/tests/unit/platform_mirror_test.cpp
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include "http/string_views.hpp"
 #include "platform/json_text.hpp"
 #include "platform/object_mirror.hpp"
 
@@ -30,6 +31,11 @@
         return result;
     }
 
+    static store_position at(std::uint64_t revision, std::uint64_t era = 1)
+    {
+        return {era, revision};
+    }
+
     http::response send_request(const std::string& query)
     {
         http::response result;
@@ -61,10 +67,10 @@
 // must be sent only the newest.
 TEST_F(object_mirror_test, follower_behind_by_several_versions_gets_the_newest_one_only)
 {
-    m_mirror.apply_listing({make_object("main", 1)}, 10);
+    m_mirror.apply_listing({make_object("main", 1)}, at(10));
     for (int version = 2; version <= 9; ++version)
         m_mirror.apply_changes({make_object("main", version)},
-                               10 + static_cast<std::uint64_t>(version));
+                               at(10 + static_cast<std::uint64_t>(version)));
     const Json::Value changes = changes_since(11);
     ASSERT_EQ(changes["events"].size(), 1U);
     EXPECT_EQ(changes["events"][0]["object"]["spec"]["value"].asInt(), 9);
@@ -74,8 +80,8 @@
 // Guards against a deleted replica that followers keep.
 TEST_F(object_mirror_test, deleted_object_is_reported_once_and_left_out_of_lists)
 {
-    m_mirror.apply_listing({make_object("one", 1), make_object("two", 1)}, 10);
-    m_mirror.apply_changes({make_object("one", 1, true)}, 11);
+    m_mirror.apply_listing({make_object("one", 1), make_object("two", 1)}, at(10));
+    m_mirror.apply_changes({make_object("one", 1, true)}, at(11));
     const Json::Value changes = changes_since(10);
     ASSERT_EQ(changes["events"].size(), 1U);
     EXPECT_TRUE(changes["events"][0]["deleted"].asBool());
@@ -90,9 +96,9 @@
 // name.
 TEST_F(object_mirror_test, object_created_again_is_reported_as_present)
 {
-    m_mirror.apply_listing({make_object("one", 1)}, 10);
-    m_mirror.apply_changes({make_object("one", 1, true)}, 11);
-    m_mirror.apply_changes({make_object("one", 2)}, 12);
+    m_mirror.apply_listing({make_object("one", 1)}, at(10));
+    m_mirror.apply_changes({make_object("one", 1, true)}, at(11));
+    m_mirror.apply_changes({make_object("one", 2)}, at(12));
     const Json::Value changes = changes_since(10);
     ASSERT_EQ(changes["events"].size(), 1U);
     EXPECT_FALSE(changes["events"][0]["deleted"].asBool());
@@ -105,13 +111,28 @@
     std::vector<store_object> objects;
     for (std::size_t index = 0; index < object_mirror::max_deletions + 1; ++index)
         objects.push_back(make_object("object" + std::to_string(index), 1));
-    m_mirror.apply_listing(objects, 10);
+    m_mirror.apply_listing(objects, at(10));
     std::uint64_t revision = 10;
     for (const store_object& item : objects)
-        m_mirror.apply_changes({make_object(item.name, 1, true)}, ++revision);
+        m_mirror.apply_changes({make_object(item.name, 1, true)}, at(++revision));
     EXPECT_EQ(send_request("?watch=10&waitMs=1").result(), http::status::gone);
     EXPECT_EQ(changes_since(11)["events"].size(), object_mirror::max_deletions);
 }
 
+// Guards against a follower that takes changes of another history for those that it misses: after
+// the store has come back from a copy, revisions are given out again.
+TEST_F(object_mirror_test, answers_state_the_era_and_a_rise_ends_waiting_watches)
+{
+    m_mirror.apply_listing({make_object("one", 1)}, at(10, 3));
+    EXPECT_EQ(send_request("")[http::to_beast(store_era_field)], "3");
+    EXPECT_EQ(send_request("?watch=10&waitMs=1")[http::to_beast(store_era_field)], "3");
+    http::asio::steady_timer restored(m_context, 20ms);
+    restored.async_wait([this](const boost::system::error_code&)
+                        { m_mirror.apply_listing({make_object("one", 1)}, at(8, 4)); });
+    const auto waiting = send_request("?watch=10&waitMs=1000");
+    EXPECT_EQ(waiting.result(), http::status::gone);
+    EXPECT_EQ(waiting[http::to_beast(store_era_field)], "4");
+}
+
 } // namespace
 } // namespace ospreystair::platform
