Forwarding: Choose replicas by their refusals, and ask those that refused again

A part that was refused by maxAttempts replicas failed, though it had run nowhere. Change: event_rate, a rate of refusals and of failures whose half-life follows the interval between samples; the expected cost of a replica includes it. A part may be sent again to replicas that refused it without being full (load header), within the budget and eight sends; never to more replicas than the route allows. A VM's share of the budget is rounded up on some VMs and down on others, so that the fleet uses what it may.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -146,14 +146,24 @@
     /// there is no other.
     choice choose(const std::string& service, const std::vector<std::shared_ptr<replica>>& excluded,
                   const latency_baseline& baseline)
+    {
+        std::vector<std::shared_ptr<replica>> candidates;
+        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
+            if (std::find(excluded.begin(), excluded.end(), candidate) == excluded.end())
+                candidates.push_back(candidate);
+        return choose_among(candidates, baseline);
+    }
+
+    /// Like `choose`, among `candidates`.
+    choice choose_among(const std::vector<std::shared_ptr<replica>>& candidates,
+                        const latency_baseline& baseline)
     {
         choice result;
         std::optional<base::duration> best;
         const base::time_point now = m_clock.now();
-        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
+        for (const std::shared_ptr<replica>& candidate : candidates)
         {
-            if (!candidate->is_ready() || candidate->is_down(now) ||
-                std::find(excluded.begin(), excluded.end(), candidate) != excluded.end())
+            if (!candidate->is_ready() || candidate->is_down(now))
                 continue;
             if (candidate->is_closed(now))
             {
@@ -175,6 +185,11 @@
         return result;
     }
 
+    const std::vector<std::shared_ptr<replica>>& replicas_of(const std::string& service) const
+    {
+        return m_directory.replicas_of(service);
+    }
+
     /// Whether some replica of the service takes requests now.
     bool has_live_replica(const std::string& service) const
     {
@@ -239,15 +254,15 @@
 
     void record_request(const std::string& service)
     {
-        m_budgets[service].record_request(m_clock.now(), m_settings.repeats);
+        budget_of(service).record_request(m_clock.now(), m_settings.repeats);
     }
     bool may_repeat(const std::string& service)
     {
-        return m_budgets[service].allows_repeat(m_clock.now(), m_settings.repeats, m_vm_count);
+        return budget_of(service).allows_repeat(m_clock.now(), m_settings.repeats, m_vm_count);
     }
     void record_repeat(const std::string& service)
     {
-        m_budgets[service].record_repeat(m_clock.now(), m_settings.repeats);
+        budget_of(service).record_repeat(m_clock.now(), m_settings.repeats);
     }
 
     void record_unservable() { m_isolation_monitor.record_unservable(m_clock.now()); }
@@ -324,6 +339,17 @@
         return result;
     }
 
+    repeat_budget& budget_of(const std::string& service)
+    {
+        const auto found = m_budgets.find(service);
+        if (found != m_budgets.end())
+            return found->second;
+        constexpr std::uint64_t resolution = 1'000;
+        const double rounding =
+            static_cast<double>(m_random.below(resolution)) / static_cast<double>(resolution);
+        return m_budgets.emplace(service, repeat_budget(rounding)).first->second;
+    }
+
     const std::string& choose_service(const route& rule)
     {
         if (rule.services.size() == 1)
--- a/source/forwarding/query_part.hpp
+++ b/source/forwarding/query_part.hpp
@@ -33,6 +33,9 @@
     replica_reply reply;
     /// Replicas that attempts were sent to, one entry for each attempt.
     std::vector<std::shared_ptr<replica>> tried;
+    /// Replicas that refused the request without being full. They have not run it and may be asked
+    /// again.
+    std::vector<std::shared_ptr<replica>> refused_by;
     std::size_t open_attempts = 0;
     /// Whether the part waits for a free connection to a replica.
     bool is_waiting = false;
--- a/source/forwarding/repeat_budget.hpp
+++ b/source/forwarding/repeat_budget.hpp
@@ -36,6 +36,11 @@
     /// Fraction of the limit that is used; the rest allows for VMs that count at different times.
     static constexpr double used_share = 0.85;
 
+    /// `rounding`, from 0 to below 1 and different on each VM, is added before the allowed number
+    /// is rounded down. In a large fleet the share of a VM is three or four repeats: without it,
+    /// all VMs together would use a fifth less than is allowed.
+    explicit repeat_budget(double rounding = 0) : m_rounding(rounding) {}
+
     void record_request(base::time_point now, const repeat_limits& limits)
     {
         advance(now, limits);
@@ -50,7 +55,7 @@
         const double allowed =
             used_share * (limits.ratio * static_cast<double>(m_request_total) +
                           limits.slack / static_cast<double>(vm_count == 0 ? 1 : vm_count));
-        return static_cast<double>(m_repeat_total) + 1 <= allowed;
+        return static_cast<double>(m_repeat_total) + 1 <= allowed + m_rounding;
     }
 
     /// Counts a repeat, also one sent without a check by `allows_repeat`.
@@ -80,6 +85,7 @@
         m_slot_number = number;
     }
 
+    const double m_rounding;
     // Invariant: the totals are the sums of the slots.
     std::array<std::uint16_t, slot_count> m_requests{};
     std::array<std::uint16_t, slot_count> m_repeats{};
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -23,12 +23,13 @@
 constexpr double latency_ratio_weight = 0.3;
 // Slow phases last 5 to 10 s: a replica that was slow gets requests again after a few seconds.
 constexpr double latency_ratio_half_life_s = 4.0;
-constexpr double failure_weight = 0.15;
-constexpr double failure_half_life_s = 3.0;
 // Latency factor of a replica that has just started, corrected by its first replies.
 constexpr double warm_up_factor = 1.5;
 // Cost of a failed attempt until another replica has answered, in median latencies.
 constexpr double failure_cost = 4.0;
+// Cost of a refused attempt, in median latencies: the refusal comes at once, but each repeat uses
+// up the budget that all VMs share.
+constexpr double refusal_cost = 3.0;
 constexpr double max_log_latency_ratio = 3.0;
 constexpr double min_log_latency_ratio = -1.0;
 constexpr milliseconds initial_refusal_backoff{20};
@@ -96,9 +97,8 @@
     remove_outstanding(sent_at);
     m_last_contact = now;
     m_silent_since = m_outstanding.empty() ? std::nullopt : std::optional(now);
-    const double rate = failure_rate(now);
-    m_failure_rate = rate + failure_weight * ((is_failure ? 1.0 : 0.0) - rate);
-    m_failure_at = now;
+    m_failure_rate.record(is_failure, now);
+    m_refusal_rate.record(false, now);
     if (is_failure)
         return;
     m_is_reopening = now < m_closed_until;
@@ -123,6 +123,7 @@
     remove_outstanding(sent_at);
     m_last_contact = now;
     m_silent_since = m_outstanding.empty() ? std::nullopt : std::optional(now);
+    m_refusal_rate.record(true, now);
     back_off(now, initial_refusal_backoff);
 }
 
@@ -135,9 +136,7 @@
 void replica::record_connection_loss(base::time_point sent_at, base::time_point now)
 {
     remove_outstanding(sent_at);
-    const double rate = failure_rate(now);
-    m_failure_rate = rate + failure_weight * (1.0 - rate);
-    m_failure_at = now;
+    m_failure_rate.record(true, now);
 }
 
 void replica::record_abandoned(base::time_point sent_at, base::time_point now,
@@ -194,11 +193,6 @@
                     decay(now - m_latency_ratio_at, latency_ratio_half_life_s));
 }
 
-double replica::failure_rate(base::time_point now) const
-{
-    return m_failure_rate * decay(now - m_failure_at, failure_half_life_s);
-}
-
 double replica::requests_ahead(base::time_point now, const latency_baseline& baseline) const
 {
     const auto own_requests = static_cast<double>(m_outstanding.size());
@@ -224,7 +218,7 @@
         factor *= warm_up_factor;
     if (m_load_at && now - *m_load_at < max_pause)
         factor *= std::max(1.0, m_load.slowdown);
-    factor += failure_cost * failure_rate(now);
+    factor += failure_cost * m_failure_rate.value(now) + refusal_cost * m_refusal_rate.value(now);
     return scale(baseline.median, factor);
 }
 
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "base/clock.hpp"
+#include "forwarding/event_rate.hpp"
 #include "forwarding/registration.hpp"
 
 namespace ospreystair::forwarding
@@ -125,12 +126,15 @@
     static constexpr std::chrono::milliseconds max_pause{400};
 
 private:
+    static constexpr double failure_weight = 0.15;
+    // Refusals are sent at once and seldom come alone.
+    static constexpr double refusal_weight = 0.35;
+
     void remove_outstanding(base::time_point sent_at);
     void update_latency_ratio(base::duration latency, base::time_point now,
                               const latency_baseline& baseline);
     void back_off(base::time_point now, base::duration initial);
     double latency_ratio(base::time_point now) const;
-    double failure_rate(base::time_point now) const;
     double requests_ahead(base::time_point now, const latency_baseline& baseline) const;
 
     registration m_registry_entry;
@@ -158,8 +162,8 @@
     // Natural logarithm of the ratio of the replica's latency to the median of all replicas.
     double m_log_latency_ratio = 0;
     base::time_point m_latency_ratio_at{};
-    double m_failure_rate = 0;
-    base::time_point m_failure_at{};
+    event_rate m_failure_rate{failure_weight};
+    event_rate m_refusal_rate{refusal_weight};
     load_report m_load;
     std::optional<base::time_point> m_load_at;
 };
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -189,7 +189,9 @@
     {
         query_part& item = m_parts[index];
         const bool is_repeat = !item.tried.empty();
-        const auto choice = m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline);
+        auto choice = m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline);
+        if (!choice.target && !choice.is_saturated && !item.refused_by.empty())
+            choice = m_dispatcher.choose_among(item.refused_by, m_baseline);
         if (!choice.target && choice.is_saturated)
         {
             wait_for_connection(index);
@@ -346,6 +348,8 @@
     {
         query_part& item = m_parts[index];
         item.reason = std::move(result.reason);
+        if (result.outcome == attempt_outcome::refused)
+            record_refusal(item, ended.target, result.load);
         if (result.outcome == attempt_outcome::failed)
             item.last_failure = std::move(result.reply);
         if (item.open_attempts > 0)
@@ -373,17 +377,44 @@
         start_attempt(index);
     }
 
-    // Replicas that must not get the next attempt of the part.
+    // A full replica would refuse the request again; one that refuses a share of its requests may
+    // accept it.
+    static void record_refusal(query_part& item, const std::shared_ptr<replica>& target,
+                               const std::optional<load_report>& load)
+    {
+        const bool is_full = load && load->running >= load->slots;
+        const auto found = std::find(item.refused_by.begin(), item.refused_by.end(), target);
+        if (!is_full && found == item.refused_by.end())
+            item.refused_by.push_back(target);
+        if (is_full && found != item.refused_by.end())
+            item.refused_by.erase(found);
+    }
+
+    // Replicas that must not get the next attempt of the part, unless it has no other.
     std::vector<std::shared_ptr<replica>> excluded_replicas(const query_part& item) const
     {
         std::vector<std::shared_ptr<replica>> result = item.tried;
         result.insert(result.end(), m_unreached.begin(), m_unreached.end());
+        if (has_tried_all(item))
+            for (const auto& known : m_dispatcher.replicas_of(item.service))
+                result.push_back(known);
         return result;
     }
 
+    // Whether the part has been sent to as many replicas as the route allows.
+    bool has_tried_all(const query_part& item) const
+    {
+        std::size_t count = 0;
+        for (auto each = item.tried.begin(); each != item.tried.end(); ++each)
+            count += std::find(item.tried.begin(), each, *each) == each ? 1 : 0;
+        return count >= m_route.max_attempts;
+    }
+
     bool has_attempts_left(const query_part& item) const
     {
-        return item.tried.size() < m_route.max_attempts;
+        // Bounds the work for one part while the budget for repeats is large.
+        constexpr std::size_t max_sends = 8;
+        return !has_tried_all(item) || (!item.refused_by.empty() && item.tried.size() < max_sends);
     }
 
     // Whether the reply rejects the request as invalid, which every replica would do.
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -63,8 +63,11 @@
     unsigned status = 200;
     bool is_silent = false;
     std::size_t connections = 4;
+    /// Share of the requests that are refused at once.
+    double refusal_share = 0;
     bool is_leaving = false;
     std::optional<milliseconds> closed_for = {};
+    std::optional<load_report> load = {};
 };
 
 class fake_transport
@@ -95,9 +98,16 @@
         result.reply.status = behaviour.status;
         result.is_leaving = behaviour.is_leaving;
         result.closed_for = behaviour.closed_for;
+        result.load = behaviour.load;
         result.reply.receipt = "receipt of " + id;
         result.reply.body = "0123456789abcde" + id.substr(0, 1);
-        m_replies.emplace(m_clock.now() + behaviour.latency, std::pair(next, result));
+        base::duration latency = behaviour.latency;
+        if (static_cast<double>(m_random.below(1'000)) < 1'000 * behaviour.refusal_share)
+        {
+            result.outcome = attempt_outcome::refused;
+            latency = 1ms;
+        }
+        m_replies.emplace(m_clock.now() + latency, std::pair(next, result));
     }
 
     void drop(const std::shared_ptr<test_attempt>& given_up)
@@ -139,6 +149,7 @@
     }
 
     base::manual_clock& m_clock;
+    base::seeded_random m_random{23};
     std::map<std::string, std::size_t> m_busy;
     std::multimap<base::time_point, std::pair<std::shared_ptr<test_attempt>, attempt_result>>
         m_replies;
@@ -466,6 +477,73 @@
     EXPECT_LE(refused_at + *result.retry_after, opens_at + 250ms);
 }
 
+// Replays the load of a large fleet while two of the three replicas of each shard refuse 60 in 100
+// requests for nine seconds: a VM sends one query a second to 90 shards, and its share of the
+// budget is three to four repeats in ten seconds for each shard. Guards against choosing replicas
+// without regard to their refusals, and against failing a query although a replica that refused it
+// would accept it.
+TEST_F(dispatcher_test, half_of_the_queries_are_answered_while_most_replicas_refuse_most_requests)
+{
+    constexpr int shard_count = 90;
+    constexpr int replicas_per_shard = 3;
+    std::map<std::string, int> services;
+    std::vector<std::string> shards;
+    for (int index = 0; index < shard_count; ++index)
+    {
+        shards.push_back("s" + std::to_string(100 + index) + "-");
+        services[shards.back()] = replicas_per_shard;
+    }
+    add_replicas(services);
+    adopt(gather(shards, 0.95));
+    constexpr std::size_t vm_count = 76;
+    m_dispatcher.set_vm_count(vm_count);
+    m_dispatcher.set_repeat_limits({0.2, 192, 10'000ms});
+    for (int index = 0; index < 12; ++index)
+        submit_and_wait();
+    base::seeded_random random(5);
+    for (const std::string& shard : shards)
+    {
+        const int spared = 1 + static_cast<int>(random.below(replicas_per_shard));
+        for (int index = 1; index <= replicas_per_shard; ++index)
+            if (index != spared)
+                m_transport.behaviours[shard + std::to_string(index)].refusal_share = 0.6;
+    }
+    int answered = 0;
+    constexpr int query_count = 9;
+    for (int index = 0; index < query_count; ++index)
+        answered += submit_and_wait().kind == answer_kind::gathered ? 1 : 0;
+    EXPECT_GE(answered, query_count / 2);
+}
+
+// Guards against more replicas than the route allows for one request, and against endless repeats
+// to one that refuses everything.
+TEST_F(dispatcher_test, refused_request_is_sent_again_to_the_same_replicas_only)
+{
+    add_replicas({{"a", 4}});
+    adopt(single(true));
+    warm_up(100);
+    for (int index = 1; index <= 4; ++index)
+        m_transport.behaviours["a" + std::to_string(index)].outcome = attempt_outcome::refused;
+    EXPECT_EQ(submit_and_wait().kind, answer_kind::not_run);
+    EXPECT_EQ(std::set(m_transport.sent.begin(), m_transport.sent.end()).size(), 2U);
+    EXPECT_LE(m_transport.sent.size(), 8U);
+}
+
+// Guards against repeats to a replica that refuses because it is full: they would only add load.
+TEST_F(dispatcher_test, request_refused_by_full_replicas_is_not_sent_to_them_again)
+{
+    add_replicas({{"a", 4}});
+    adopt(single(true));
+    warm_up(100);
+    for (int index = 1; index <= 4; ++index)
+    {
+        m_transport.behaviours["a" + std::to_string(index)].outcome = attempt_outcome::refused;
+        m_transport.behaviours["a" + std::to_string(index)].load = load_report{2, 12, 2, 1};
+    }
+    EXPECT_EQ(submit_and_wait().kind, answer_kind::not_run);
+    EXPECT_EQ(m_transport.sent.size(), 2U);
+}
+
 // Guards against more attempts than the route allows.
 TEST_F(dispatcher_test, attempts_stay_within_limit_of_route)
 {
