--- a/source/routing/crowding_monitor.hpp
+++ b/source/routing/crowding_monitor.hpp
@@ -68,11 +68,12 @@
 private:
     static constexpr std::chrono::seconds window{2};
     // Fewer rejections may come from single replicas.
-    static constexpr std::uint32_t min_rejected = 8;
+    static constexpr std::uint32_t min_rejected = 16;
     // Another data centre that accepts none may be cut off, with connections reset on the way.
     static constexpr std::uint32_t min_opened = 2;
-    // A quarter of the new connections; crashes across the replicas of a service take fewer.
-    static constexpr std::uint32_t min_rejected_divisor = 4;
+    // Half of the new connections. Replicas with long queues reject fewer, and a connection for
+    // each request would only add to their work.
+    static constexpr std::uint32_t min_rejected_divisor = 2;
 
     struct counts
     {
