Tests: Let started processes inherit no sockets of the callers

The soak starts gateways while its callers hold connections; a started process inherited their sockets, so that closing one sent no end of the stream and the VM could not know that the caller had left. Ruled out: spurious wake-ups in server_connection::watch_peer (an event loop run step by step noticed 12 of 12 departures). Change: child_process closes all other descriptors in the child. Result: child_process_test fails without the change and passes with it.

--- a/tests/integration/child_process.cpp
+++ b/tests/integration/child_process.cpp
@@ -25,7 +25,7 @@
     m_implementation->child =
         process::child(program, process::args(arguments),
                        process::std_in<process::null, process::std_out>(log_file + ".out"),
-                       process::std_err > log_file);
+                       process::std_err > log_file, process::limit_handles);
 }
 
 child_process::~child_process()
