Soak: Bring the store back from copies, and let replicas leave and close

Cause: the two new headers and the store's era were proved by single tests only. Change: one outage of the store in three ends with a copy from its start, after which the operator and the replicas write again; one replica fault in four is the announcement of a stop, after which the replica starts anew; refusals state a time of 0.9 s. Two checks: a VM process that has passed on an answer of a leaving replica sends it no new request; at most two requests of a process reach a closed replica after half a second. A replica of the stand-in that was draining is ready again only after a new start, as on the platform.

--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -134,7 +134,16 @@
 std::vector<std::chrono::steady_clock::time_point> replica_standin::arrival_times() const
 {
     const std::scoped_lock lock(m_mutex);
-    return m_arrival_times;
+    std::vector<std::chrono::steady_clock::time_point> result;
+    for (const request_arrival& arrival : m_request_arrivals)
+        result.push_back(arrival.time);
+    return result;
+}
+
+std::vector<request_arrival> replica_standin::request_arrivals() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_request_arrivals;
 }
 
 http::awaitable<void> replica_standin::accept()
@@ -182,7 +191,6 @@
 {
     const std::scoped_lock lock(m_mutex);
     ++m_arrivals;
-    m_arrival_times.push_back(std::chrono::steady_clock::now());
     const auto text = message["Deadline-Ms"];
     std::int64_t deadline = 0;
     std::from_chars(text.data(), text.data() + text.size(), deadline);
@@ -196,6 +204,9 @@
     }
     else if (!behaviour.refuses)
         ++m_executions[std::string(message["Request-Id"])];
+    m_request_arrivals.push_back({std::chrono::steady_clock::now(),
+                                  std::string(message["Request-Id"]),
+                                  behaviour.refuses && !behaviour.retry_after.empty()});
     return behaviour;
 }
 
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -48,6 +48,15 @@
     std::string body = "0123456789abcdef";
 };
 
+/// One request that arrived at a replica.
+struct request_arrival
+{
+    std::chrono::steady_clock::time_point time;
+    std::string request_id;
+    /// Whether it was refused with a time for which the replica wants no requests.
+    bool has_closed = false;
+};
+
 struct replica_identity
 {
     std::string id;
@@ -81,6 +90,7 @@
     std::size_t open_connections() const;
     std::vector<std::chrono::milliseconds> deadlines() const;
     std::vector<std::chrono::steady_clock::time_point> arrival_times() const;
+    std::vector<request_arrival> request_arrivals() const;
     /// End of the last work on each request, by request id; requests still in progress are missing.
     std::map<std::string, std::chrono::steady_clock::time_point> work_ends() const;
 
@@ -112,7 +122,7 @@
     std::uint64_t m_abandoned = 0;
     std::uint64_t m_receipts = 0;
     std::vector<std::chrono::milliseconds> m_deadlines;
-    std::vector<std::chrono::steady_clock::time_point> m_arrival_times;
+    std::vector<request_arrival> m_request_arrivals;
     std::map<std::string, std::chrono::steady_clock::time_point> m_work_ends;
 };
 
--- a/tests/chaos/gateway_audit.cpp
+++ b/tests/chaos/gateway_audit.cpp
@@ -108,6 +108,7 @@
 void gateway_audit::add_exchange(const caller_exchange& exchange)
 {
     const std::scoped_lock lock(m_mutex);
+    m_exchange_of[exchange.id] = m_exchanges.size();
     m_exchanges.push_back(exchange);
     ++m_statuses[exchange.answer.status];
     // A request sent on a persistent connection while the gateway closes it was not read.
@@ -304,6 +305,94 @@
     }
 }
 
+void gateway_audit::begin_leaving(const std::string& replica, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_leaving_times.push_back({replica, now, time_point::max()});
+}
+
+void gateway_audit::end_leaving(const std::string& replica, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (leaving_time& each : m_leaving_times)
+        if (each.replica == replica && each.to == time_point::max())
+            each.to = now;
+}
+
+const caller_exchange* gateway_audit::find_exchange(const std::string& id) const
+{
+    const auto found = m_exchange_of.find(id);
+    return found == m_exchange_of.end() ? nullptr : &m_exchanges[found->second];
+}
+
+void gateway_audit::check_announcements(const std::string& replica,
+                                        const std::vector<standins::request_arrival>& arrivals)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const leaving_time& each : m_leaving_times)
+        if (each.replica == replica)
+            check_leaving(each, arrivals);
+    check_closing(replica, arrivals);
+}
+
+void gateway_audit::check_leaving(const leaving_time& leaving,
+                                  const std::vector<standins::request_arrival>& arrivals)
+{
+    // When each process had certainly read an answer of the replica, because it passed it on.
+    std::map<vm_process, time_point> informed_at;
+    for (const auto& arrival : arrivals)
+    {
+        const caller_exchange* const exchange = find_exchange(arrival.request_id);
+        if (!exchange || exchange->sent_at < leaving.from || arrival.time > leaving.to)
+            continue;
+        const auto receipts = exchange->answer.receipts();
+        const bool is_passed_on = std::any_of(
+            receipts.begin(), receipts.end(),
+            [&](const std::string& receipt) { return receipt.starts_with(leaving.replica + "."); });
+        if (is_passed_on)
+            informed_at.try_emplace({exchange->vm, exchange->incarnation}, exchange->ended_at);
+    }
+    for (const auto& arrival : arrivals)
+    {
+        const caller_exchange* const exchange = find_exchange(arrival.request_id);
+        if (!exchange || arrival.time < leaving.from || arrival.time > leaving.to)
+            continue;
+        const auto informed = informed_at.find({exchange->vm, exchange->incarnation});
+        if (informed == informed_at.end())
+            continue;
+        ++m_checks["requests to leaving replicas"];
+        if (exchange->sent_at > informed->second)
+            record_violation("leaving replicas get no new request", *exchange, leaving.replica);
+    }
+}
+
+void gateway_audit::check_closing(const std::string& replica,
+                                  const std::vector<standins::request_arrival>& arrivals)
+{
+    for (const auto& refusal : arrivals)
+    {
+        const caller_exchange* const refused = find_exchange(refusal.request_id);
+        if (!refusal.has_closed || !refused)
+            continue;
+        ++m_checks["closed replicas"];
+        std::size_t count = 0;
+        for (const auto& arrival : arrivals)
+        {
+            const caller_exchange* const exchange = find_exchange(arrival.request_id);
+            count += exchange && exchange->vm == refused->vm &&
+                             exchange->incarnation == refused->incarnation &&
+                             arrival.time > refusal.time + closing_time &&
+                             arrival.time < refusal.time + closed_time
+                         ? 1
+                         : 0;
+        }
+        if (count > max_arrivals_while_closed &&
+            is_undisturbed(*refused, refusal.time + closed_time))
+            record_violation("closed replicas get no requests", *refused,
+                             fmt::format("{} requests at {}", count, replica));
+    }
+}
+
 std::vector<std::string> gateway_audit::violations(const std::string& invariant) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/tests/chaos/gateway_audit.hpp
+++ b/tests/chaos/gateway_audit.hpp
@@ -62,6 +62,11 @@
     static constexpr std::chrono::milliseconds repeat_window{10'000};
     static constexpr double repeat_ratio = 0.2;
     static constexpr std::size_t repeat_slack = 58;
+    /// Time for which refusing replicas want no requests, and the part of it in which requests that
+    /// are on their way may still arrive.
+    static constexpr std::chrono::milliseconds closed_time{900};
+    static constexpr std::chrono::milliseconds closing_time{500};
+    static constexpr std::size_t max_arrivals_while_closed = 2;
 
     explicit gateway_audit(disturbance_log& disturbances) : m_disturbances(disturbances) {}
 
@@ -80,6 +85,15 @@
     /// requests and the budget of repeats.
     void check_repeats(const std::string& service, std::vector<time_point> arrivals);
 
+    /// The replica announces its stop in all its answers from `begin_leaving` to `end_leaving`.
+    void begin_leaving(const std::string& replica, time_point now);
+    void end_leaving(const std::string& replica, time_point now);
+    /// Called after the run with the requests that arrived at a replica: checks that a VM which had
+    /// an answer of the leaving replica sent it no further requests, and none while the replica
+    /// wanted none.
+    void check_announcements(const std::string& replica,
+                             const std::vector<standins::request_arrival>& arrivals);
+
     std::vector<std::string> violations(const std::string& invariant) const;
     std::string summary() const;
 
@@ -101,7 +115,20 @@
     /// Whether the VM was not stopped either.
     bool is_undisturbed(const caller_exchange& exchange, time_point to) const;
 
+    struct leaving_time
+    {
+        std::string replica;
+        time_point from;
+        time_point to;
+    };
+    using vm_process = std::pair<std::size_t, unsigned>;
+
     // The caller of these functions has locked m_mutex.
+    void check_leaving(const leaving_time& leaving,
+                       const std::vector<standins::request_arrival>& arrivals);
+    void check_closing(const std::string& replica,
+                       const std::vector<standins::request_arrival>& arrivals);
+    const caller_exchange* find_exchange(const std::string& id) const;
     void check_gathered(const caller_exchange& exchange);
     void check_single(const caller_exchange& exchange);
     std::string check_parts(const caller_exchange& exchange,
@@ -122,6 +149,9 @@
     std::map<std::pair<std::size_t, unsigned>, std::vector<observed_generation>>
         m_observed_generations;
     std::map<std::string, std::vector<std::string>> m_violations;
+    std::vector<leaving_time> m_leaving_times;
+    // Indexes into m_exchanges by request id.
+    std::map<std::string, std::size_t> m_exchange_of;
     std::map<unsigned, std::size_t> m_statuses;
     std::map<std::string, std::size_t> m_checks;
 };
--- a/tests/chaos/gateway_run.cpp
+++ b/tests/chaos/gateway_run.cpp
@@ -26,6 +26,8 @@
                                       "every request is answered",
                                       "processes end when they are told to",
                                       "draining replicas get no late request",
+                                      "leaving replicas get no new request",
+                                      "closed replicas get no requests",
                                       "at most once",
                                       "refused requests have not run",
                                       "only callers' requests run",
@@ -48,6 +50,7 @@
             executions[request] += count;
         for (const auto& [request, ended_at] : target->work_ends())
             work_ends[request] = std::max(work_ends[request], ended_at);
+        audit.check_announcements(id, target->request_arrivals());
         const auto times = target->arrival_times();
         auto& service_arrivals = arrivals[service_of(id)];
         service_arrivals.insert(service_arrivals.end(), times.begin(), times.end());
--- a/tests/chaos/gateway_system.cpp
+++ b/tests/chaos/gateway_system.cpp
@@ -25,6 +25,15 @@
 constexpr milliseconds recovery_timeout{20'000};
 constexpr milliseconds slow_reply{300};
 constexpr std::uint64_t store_delay_ms = 300;
+// Seconds for which a refusing replica wants no requests; see gateway_audit::closed_time.
+constexpr const char* closed_time = "0.9";
+
+// Whether the store has lost at the end of its outage what was written during it.
+bool comes_back_from_copy(const scheduled_fault& fault)
+{
+    constexpr std::uint64_t copy_interval = 3;
+    return fault.kind == fault_kind::platform_outage && fault.variant / 2 % copy_interval == 0;
+}
 
 // Returns the behaviour without any fault; only the body stays.
 replica_behaviour without_faults(const replica_behaviour& behaviour)
@@ -112,16 +121,7 @@
         return m_fleet.change_replica(find_target(fault), [](replica_behaviour& behaviour)
                                       { behaviour.latency = replica_behaviour{}.latency; });
     case fault_kind::upstream_fault:
-        return m_fleet.change_replica(find_target(fault),
-                                      [](replica_behaviour& behaviour)
-                                      {
-                                          // Missing and slow answers are faults of other kinds,
-                                          // which may be active.
-                                          replica_behaviour repaired = without_faults(behaviour);
-                                          repaired.never_answers = behaviour.never_answers;
-                                          repaired.latency = behaviour.latency;
-                                          behaviour = repaired;
-                                      });
+        return clear_replica_fault(find_target(fault));
     case fault_kind::platform_outage:
     case fault_kind::slow_platform:
     case fault_kind::lose_write_answers:
@@ -206,6 +206,9 @@
             milliseconds{store_delay_ms + fault.variant % store_delay_ms});
     if (fault.kind == fault_kind::lose_write_answers)
         return m_fleet.store().set_losing_answers(true);
+    // What is written from now on is missing in the copy.
+    if (comes_back_from_copy(fault))
+        m_fleet.store().keep_copy();
     constexpr std::array modes{store_mode::refusing, store_mode::silent, store_mode::limiting};
     m_fleet.store().set_mode(modes.at(fault.variant % modes.size()));
     m_fleet.store().cut_connections();
@@ -222,7 +225,11 @@
         // A store may have lost its history in an outage.
         if (fault.variant % 2 == 0)
             m_fleet.store().drop_history();
+        if (comes_back_from_copy(fault))
+            m_fleet.store().restore_copy();
         m_fleet.store().set_mode(store_mode::serving);
+        if (comes_back_from_copy(fault))
+            m_fleet.write_again();
     }
     m_disturbances.end(store_component, steady_clock::now());
 }
@@ -235,6 +242,15 @@
         &replica_behaviour::appends_garbage, &replica_behaviour::is_unframed,
         &replica_behaviour::closes};
     constexpr unsigned internal_error = 500;
+    // One fault in four announces that the replica stops; a refusal states a time in the others.
+    constexpr std::uint64_t announcement_interval = 4;
+    if (variant / (faults.size() + 1) % announcement_interval == 0)
+    {
+        m_fleet.change_replica(id,
+                               [](replica_behaviour& behaviour) { behaviour.is_leaving = true; });
+        m_audit.begin_leaving(id, steady_clock::now());
+        return;
+    }
     m_fleet.change_replica(id,
                            [&](replica_behaviour& behaviour)
                            {
@@ -243,7 +259,29 @@
                                    behaviour.status = internal_error;
                                else
                                    behaviour.*faults.at(index) = true;
+                               if (behaviour.refuses)
+                                   behaviour.retry_after = closed_time;
+                           });
+}
+
+void gateway_system::clear_replica_fault(const std::string& id)
+{
+    bool was_leaving = false;
+    m_fleet.change_replica(id,
+                           [&was_leaving](replica_behaviour& behaviour)
+                           {
+                               was_leaving = behaviour.is_leaving;
+                               // Missing and slow answers are faults of other kinds, which may be
+                               // active.
+                               replica_behaviour repaired = without_faults(behaviour);
+                               repaired.never_answers = behaviour.never_answers;
+                               repaired.latency = behaviour.latency;
+                               behaviour = repaired;
                            });
+    if (!was_leaving)
+        return;
+    m_audit.end_leaving(id, steady_clock::now());
+    m_fleet.restart_replica(id);
 }
 
 void gateway_system::drain(const std::string& id)
@@ -331,6 +369,8 @@
     m_fleet.store().set_mode(store_mode::serving);
     m_fleet.store().set_delay(milliseconds{0});
     m_fleet.store().set_losing_answers(false);
+    for (const auto& [id, ignored] : m_fleet.replicas())
+        clear_replica_fault(id);
     m_fleet.change_all_replicas([](replica_behaviour& behaviour)
                                 { behaviour = without_faults(behaviour); });
     for (const auto& [fault, id] : m_fault_targets)
--- a/tests/chaos/gateway_system.hpp
+++ b/tests/chaos/gateway_system.hpp
@@ -67,6 +67,7 @@
     };
 
     static testing_support::fleet_options make_options();
+    void clear_replica_fault(const std::string& id);
     const std::string& choose_replica(const scheduled_fault& fault);
     const std::string& find_target(const scheduled_fault& fault) const
     {
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -156,10 +156,29 @@
     entry["state"] = state;
     entry["warmupLeftMs"] = 0;
     entry["sequence"] = 1;
-    entry["born"] = Json::Int64{1'700'000'000'000};
+    const Json::Value& previous = m_entries[id];
+    entry["born"] = previous.isObject() ? previous["born"] : Json::Int64{1'700'000'000'000};
+    if (previous.isObject() && previous["state"] == "draining" && state == "ready")
+        entry["born"] = entry["born"].asInt64() + 1;
+    m_entries[id] = entry;
     m_store->put("servers", id, entry);
 }
 
+void platform_fleet::restart_replica(const std::string& id)
+{
+    Json::Value& entry = m_entries.at(id);
+    entry["born"] = entry["born"].asInt64() + 1;
+    entry["state"] = "ready";
+    m_store->put("servers", id, entry);
+}
+
+void platform_fleet::write_again()
+{
+    m_store->put("config", "main", m_configuration);
+    for (const auto& [id, entry] : m_entries)
+        m_store->put("servers", id, entry);
+}
+
 void platform_fleet::change_all_replicas(
     const std::function<void(standins::replica_behaviour&)>& change)
 {
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -117,8 +117,14 @@
 
     /// Adds a replica "<service>-<index>" and its registry entry.
     void add_replica(const std::string& service, std::size_t index);
-    /// Writes a replica's registry entry with the given state.
+    /// Writes a replica's registry entry with the given state. A replica that was draining is ready
+    /// again only after a new start.
     void register_replica(const std::string& id, const std::string& state);
+    /// Writes a replica's entry after a new start.
+    void restart_replica(const std::string& id);
+    /// Writes the configuration and all registry entries again, as the operator and the replicas do
+    /// when the store came back from an older copy.
+    void write_again();
     void change_all_replicas(const std::function<void(standins::replica_behaviour&)>& change);
     void change_replica(const std::string& id,
                         const std::function<void(standins::replica_behaviour&)>& change);
@@ -156,6 +162,8 @@
     std::unique_ptr<standins::store_standin> m_store;
     std::map<std::string, std::shared_ptr<standins::replica_standin>> m_replicas;
     std::map<std::string, standins::replica_behaviour> m_behaviours;
+    // Registry entries as last written, by id.
+    std::map<std::string, Json::Value> m_entries;
     Json::Value m_configuration;
     std::uint64_t m_version = 0;
     std::vector<gateway_vm> m_vms;
