--- a/source/routing/crowding_monitor.hpp
+++ b/source/routing/crowding_monitor.hpp
@@ -25,9 +25,9 @@
 class crowding_monitor
 {
 public:
-    /// `own_data_centre` is that of this VM.
-    explicit crowding_monitor(std::string own_data_centre)
-        : m_own_data_centre(std::move(own_data_centre))
+    /// `own_data_centre` is that of this VM, `started_at` the start of its process.
+    crowding_monitor(std::string own_data_centre, base::time_point started_at)
+        : m_own_data_centre(std::move(own_data_centre)), m_started_at(started_at)
     {
     }
 
@@ -68,12 +68,16 @@
 private:
     static constexpr std::chrono::seconds window{2};
     // Fewer rejections may come from single replicas.
-    static constexpr std::uint32_t min_rejected = 16;
+    static constexpr std::uint32_t min_rejected = 8;
     // Another data centre that accepts none may be cut off, with connections reset on the way.
     static constexpr std::uint32_t min_opened = 2;
-    // Half of the new connections. Replicas with long queues reject fewer, and a connection for
-    // each request would only add to their work.
-    static constexpr std::uint32_t min_rejected_divisor = 2;
+    // After its start a VM may have lost power together with the others. A quarter is enough then,
+    // so that the VMs that were first notice too and do not hold the free connections.
+    static constexpr std::chrono::seconds start_time{15};
+    static constexpr std::uint32_t divisor_after_start = 4;
+    // Later, half of the new connections: replicas with long queues reject some, and a connection
+    // for each request would only add to their work.
+    static constexpr std::uint32_t usual_divisor = 2;
 
     struct counts
     {
@@ -96,12 +100,15 @@
     {
         const bool is_reachable =
             data_centre == m_own_data_centre || current.opened_after_rejection >= min_opened;
+        const std::uint32_t divisor =
+            now - m_started_at < start_time ? divisor_after_start : usual_divisor;
         if (current.rejected >= min_rejected && is_reachable &&
-            current.rejected * min_rejected_divisor >= current.rejected + current.opened)
+            current.rejected * divisor >= current.rejected + current.opened)
             current.crowded_until = std::max(current.crowded_until, now + crowded_time);
     }
 
     const std::string m_own_data_centre;
+    const base::time_point m_started_at;
     // By data centre, of the current time window.
     std::map<std::string, counts> m_counts;
 };
