--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -51,7 +51,8 @@
     EXPECT_DOUBLE_EQ(settings->repeats.ratio, 0.3);
     EXPECT_DOUBLE_EQ(settings->link_mbps, 21.5);
     EXPECT_FALSE(settings->is_first_start);
-    const auto first = vm_settings::parse("bootstrap = true\n" + std::string(settings_text), reason);
+    const auto first =
+        vm_settings::parse("bootstrap = true\n" + std::string(settings_text), reason);
     ASSERT_TRUE(first) << reason.message;
     EXPECT_TRUE(first->is_first_start);
 }
