Forwarding: Keep hedges within the replicas that the route allows

A part that was refused by one replica may be sent to it again, for which has_attempts_left also holds when the route's replicas are used up; hedge() asked the same and then chose any other replica (test: four replicas reached where two are allowed). Change: a hedge is sent only while the part has not been sent to as many replicas as the route allows. Result: the test fails before and passes after.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -321,7 +321,7 @@
         query_part& item = m_parts[index];
         item.hedge_at.reset();
         if (m_is_finished || item.state != part_state::open || item.open_attempts == 0 ||
-            item.is_waiting || !has_attempts_left(item))
+            item.is_waiting || has_tried_all(item))
             return;
         const base::time_point now = m_dispatcher.now();
         // A single part does not queue behind other parts on this VM's network link, so a reply may
@@ -362,8 +362,7 @@
         // If no byte was sent, the replica has not received the request: sending it is no repeat.
         const bool has_arrived = result.outcome != attempt_outcome::not_sent;
         const bool is_rejected = result.is_connection_rejected;
-        if ((has_arrived && !has_attempts_left(item)) ||
-            (has_arrived && !m_dispatcher.may_repeat(item.service)))
+        if (has_arrived && (!has_attempts_left(item) || !m_dispatcher.may_repeat(item.service)))
             return fail_part(item, item.reason);
         if (!has_arrived)
         {
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -91,7 +91,9 @@
         sent.push_back(id);
         deadlines.push_back(next->deadline - m_clock.now());
         const replica_behaviour behaviour = behaviour_of(id);
-        if (behaviour.is_silent)
+        const bool is_refused = refused_sends > 0;
+        refused_sends -= is_refused ? 1 : 0;
+        if (behaviour.is_silent && !is_refused)
             return;
         attempt_result result;
         result.outcome = behaviour.outcome;
@@ -102,7 +104,8 @@
         result.reply.receipt = "receipt of " + id;
         result.reply.body = "0123456789abcde" + id.substr(0, 1);
         base::duration latency = behaviour.latency;
-        if (static_cast<double>(m_random.below(1'000)) < 1'000 * behaviour.refusal_share)
+        if (is_refused ||
+            static_cast<double>(m_random.below(1'000)) < 1'000 * behaviour.refusal_share)
         {
             result.outcome = attempt_outcome::refused;
             latency = 1ms;
@@ -140,6 +143,8 @@
     std::vector<std::string> sent;
     std::vector<base::duration> deadlines;
     std::vector<std::string> dropped;
+    /// Number of the next requests that are refused whatever the replica's behaviour is.
+    int refused_sends = 0;
 
 private:
     replica_behaviour behaviour_of(const std::string& id) const
@@ -529,6 +534,19 @@
     EXPECT_LE(m_transport.sent.size(), 8U);
 }
 
+// Guards against a hedge to a third replica when the route allows two and one of them has refused.
+TEST_F(dispatcher_test, hedge_after_a_refusal_stays_within_the_replicas_of_the_route)
+{
+    add_replicas({{"a", 4}});
+    adopt(single(true));
+    warm_up(100);
+    for (int index = 1; index <= 4; ++index)
+        m_transport.behaviours["a" + std::to_string(index)].is_silent = true;
+    m_transport.refused_sends = 1;
+    submit_and_wait();
+    EXPECT_EQ(std::set(m_transport.sent.begin(), m_transport.sent.end()).size(), 2U);
+}
+
 // Guards against repeats to a replica that refuses because it is full: they would only add load.
 TEST_F(dispatcher_test, request_refused_by_full_replicas_is_not_sent_to_them_again)
 {
