Forwarding: Choose among replicas without copying the candidates

Cause: read again as a whole, the choice of a replica copied the candidates of each sub-request into a new list; a part that had used up the route's replicas excluded every replica by name, for which the dispatcher exposed its list; a random fraction was computed in two places, the loss of a connection recorded in two. Change: choose_among takes the excluded ones and reads the directory's list, a part without replicas left skips that choice, choose_fraction serves both users, replicas_of is gone. Behaviour stays: the order of random numbers and of the checks is the same, no test changed.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -147,15 +147,12 @@
     choice choose(const std::string& service, const std::vector<std::shared_ptr<replica>>& excluded,
                   const latency_baseline& baseline)
     {
-        std::vector<std::shared_ptr<replica>> candidates;
-        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
-            if (std::find(excluded.begin(), excluded.end(), candidate) == excluded.end())
-                candidates.push_back(candidate);
-        return choose_among(candidates, baseline);
+        return choose_among(m_directory.replicas_of(service), excluded, baseline);
     }
 
     /// Like `choose`, among `candidates`.
     choice choose_among(const std::vector<std::shared_ptr<replica>>& candidates,
+                        const std::vector<std::shared_ptr<replica>>& excluded,
                         const latency_baseline& baseline)
     {
         choice result;
@@ -163,7 +160,8 @@
         const base::time_point now = m_clock.now();
         for (const std::shared_ptr<replica>& candidate : candidates)
         {
-            if (!candidate->is_ready() || candidate->is_down(now))
+            if (!candidate->is_ready() || candidate->is_down(now) ||
+                std::find(excluded.begin(), excluded.end(), candidate) != excluded.end())
                 continue;
             if (candidate->is_closed(now))
             {
@@ -185,11 +183,6 @@
         return result;
     }
 
-    const std::vector<std::shared_ptr<replica>>& replicas_of(const std::string& service) const
-    {
-        return m_directory.replicas_of(service);
-    }
-
     /// Whether some replica of the service takes requests now.
     bool has_live_replica(const std::string& service) const
     {
@@ -325,9 +318,7 @@
     base::duration estimate_cost(const replica& candidate, connection_availability availability,
                                  base::time_point now, const latency_baseline& baseline)
     {
-        constexpr std::uint64_t resolution = 1'000;
-        const double jitter = 1 + cost_jitter * static_cast<double>(m_random.below(resolution)) /
-                                      static_cast<double>(resolution);
+        const double jitter = 1 + cost_jitter * choose_fraction();
         base::duration result = std::chrono::duration_cast<base::duration>(
             candidate.expected_time(now, baseline) * jitter);
         if (availability == connection_availability::new_connection)
@@ -344,10 +335,14 @@
         const auto found = m_budgets.find(service);
         if (found != m_budgets.end())
             return found->second;
+        return m_budgets.emplace(service, repeat_budget(choose_fraction())).first->second;
+    }
+
+    // Returns a random number from 0 to below 1.
+    double choose_fraction()
+    {
         constexpr std::uint64_t resolution = 1'000;
-        const double rounding =
-            static_cast<double>(m_random.below(resolution)) / static_cast<double>(resolution);
-        return m_budgets.emplace(service, repeat_budget(rounding)).first->second;
+        return static_cast<double>(m_random.below(resolution)) / static_cast<double>(resolution);
     }
 
     const std::string& choose_service(const route& rule)
@@ -378,15 +373,13 @@
             target.record_refusal(ended.sent_at, now);
             target.record_replaced();
             break;
+        case attempt_outcome::lost:
         case attempt_outcome::not_sent:
             if (result.is_connection_rejected)
                 target.record_not_sent(ended.sent_at);
             else
                 target.record_connection_loss(ended.sent_at, now);
             break;
-        case attempt_outcome::lost:
-            target.record_connection_loss(ended.sent_at, now);
-            break;
         }
         if (result.load)
             target.record_load(*result.load, now);
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -189,9 +189,11 @@
     {
         query_part& item = m_parts[index];
         const bool is_repeat = !item.tried.empty();
-        auto choice = m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline);
+        typename Dispatcher::choice choice;
+        if (!has_tried_all(item))
+            choice = m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline);
         if (!choice.target && !choice.is_saturated && !item.refused_by.empty())
-            choice = m_dispatcher.choose_among(item.refused_by, m_baseline);
+            choice = m_dispatcher.choose_among(item.refused_by, {}, m_baseline);
         if (!choice.target && choice.is_saturated)
         {
             wait_for_connection(index);
@@ -361,7 +363,6 @@
             return fail_part(item, item.reason);
         // If no byte was sent, the replica has not received the request: sending it is no repeat.
         const bool has_arrived = result.outcome != attempt_outcome::not_sent;
-        const bool is_rejected = result.is_connection_rejected;
         if (has_arrived && (!has_attempts_left(item) || !m_dispatcher.may_repeat(item.service)))
             return fail_part(item, item.reason);
         if (!has_arrived)
@@ -370,7 +371,7 @@
             const auto found = std::find(item.tried.begin(), item.tried.end(), ended.target);
             if (found != item.tried.end())
                 item.tried.erase(found);
-            if (!is_rejected)
+            if (!result.is_connection_rejected)
                 m_unreached.push_back(ended.target);
         }
         start_attempt(index);
@@ -389,14 +390,11 @@
             item.refused_by.erase(found);
     }
 
-    // Replicas that must not get the next attempt of the part, unless it has no other.
+    // Replicas that must not get the next attempt of the part, unless they are the only ones.
     std::vector<std::shared_ptr<replica>> excluded_replicas(const query_part& item) const
     {
         std::vector<std::shared_ptr<replica>> result = item.tried;
         result.insert(result.end(), m_unreached.begin(), m_unreached.end());
-        if (has_tried_all(item))
-            for (const auto& known : m_dispatcher.replicas_of(item.service))
-                result.push_back(known);
         return result;
     }
 
