Platform: Log the limits that replicas name

Cause: nothing recorded that a replica names a limit on its requests, so that the hypotheses of the incident could not be told apart.

--- a/source/forwarding/attempt.hpp
+++ b/source/forwarding/attempt.hpp
@@ -73,6 +73,9 @@
     bool is_leaving = false;
     /// How long the replica wants no requests from this VM.
     std::optional<std::chrono::milliseconds> closed_for;
+    /// Requests a second that the replica takes from all VMs together; empty when it takes any
+    /// number.
+    std::optional<double> request_limit;
     /// With `not_sent`: the replica has reached its connection limit.
     bool is_connection_rejected = false;
     /// Why there is no usable reply.
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -397,6 +397,7 @@
             target.record_leaving();
             m_observer.on_replica_leaving(target);
         }
+        record_request_limit(target, result);
         if (result.closed_for)
         {
             target.record_closed(m_clock.now() + *result.closed_for);
@@ -404,6 +405,19 @@
         }
     }
 
+    // Only a complete reply says whether the replica has a limit.
+    void record_request_limit(replica& target, const attempt_result& result)
+    {
+        const bool is_complete = result.outcome == attempt_outcome::succeeded ||
+                                 result.outcome == attempt_outcome::failed ||
+                                 result.outcome == attempt_outcome::refused;
+        if (!is_complete)
+            return;
+        if (result.request_limit.has_value() != target.request_limit().has_value())
+            m_observer.on_replica_limited(target, result.request_limit);
+        target.record_request_limit(result.request_limit);
+    }
+
     void drop(const std::shared_ptr<attempt_type>& given_up)
     {
         if (given_up->is_ended)
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -90,6 +90,10 @@
     /// End of the time for which the replica wants no requests.
     base::time_point closed_until() const { return m_closed_until; }
 
+    /// The limit that the replica named in its last reply; empty when it named none.
+    std::optional<double> request_limit() const { return m_request_limit; }
+    void record_request_limit(std::optional<double> limit) { m_request_limit = limit; }
+
     /// Records that another replica answered at this address: this one no longer exists, even if
     /// the registry still lists it.
     void record_replaced() { m_is_replaced = true; }
@@ -145,6 +149,8 @@
     base::time_point m_closed_until{};
     // Whether no request has succeeded since m_closed_until.
     bool m_is_reopening = false;
+    // Requests a second from all VMs together.
+    std::optional<double> m_request_limit;
     // End of the slow phase after the replica's start.
     base::time_point m_warm_up_end{};
     // Send times of outstanding attempts, oldest first.
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -222,6 +222,8 @@
         text += fmt::format("Retry-After: {}\r\n", behaviour.retry_after);
     if (behaviour.is_leaving)
         text += "Server-Leaving: 1\r\n";
+    if (!behaviour.request_limit.empty())
+        text += fmt::format("Server-Limit: {}\r\n", behaviour.request_limit);
     if (behaviour.refuses || status == misdirected)
         text += "Not-Executed: 1\r\n";
     else
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -31,6 +31,9 @@
     std::string retry_after = {};
     /// States in every answer that the replica is about to stop.
     bool is_leaving = false;
+    /// Value of the header field that names the requests a second which the replica takes from all
+    /// VMs together; none when empty.
+    std::string request_limit = {};
     /// Reads and runs requests but never answers.
     bool never_answers = false;
     /// Runs requests, then closes the connection without an answer.
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -38,6 +38,7 @@
     }
     void on_replica_leaving(const replica&) { ++leaving; }
     void on_replica_closed(const replica&, milliseconds) { ++closures; }
+    void on_replica_limited(const replica&, std::optional<double>) {}
     template<class Run>
     void on_no_hedge(const Run&, const std::string&, std::string_view reason)
     {
