Forwarding: Send replicas that name a request limit this VM's share of it

Callers saw nothing; a replica in need got far more requests than the limit that it had named.

Cause: the limit reached every VM and nobody acted on it. The class: an upstream's wish that concerns all VMs together was not part of the choice of a replica.

Change: routing/rate_share issues permits at the replica's rate, and each VM owns one in vm-count of them by its rank in the list of VMs and the time of day, so that the VMs take turns without talking to each other. Permits expire, else the VMs of a large fleet could all use one of a quiet time in the same second (random phases instead of ranks failed the property test at a limit of 0 with 79 VMs: 6 requests, 5 allowed). A replica without a permit counts as closed: another one is chosen, and a query whose shards have none is refused at once, sends nothing, and is told when the next permit is issued. Repeats use permits too. A reply without the limit ends it; one that wants no request still gets one in four seconds from all VMs, since only replies tell.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -23,6 +23,7 @@
 #include "forwarding/request_run.hpp"
 #include "forwarding/route_knowledge.hpp"
 #include "forwarding/traffic_split.hpp"
+#include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
 {
@@ -87,7 +88,8 @@
     }
 
     const std::shared_ptr<const route_table>& table() const { return m_table; }
-    void set_vm_count(std::size_t count) { m_vm_count = count; }
+    /// Sets this VM's place among the VMs that share the limits.
+    void set_fleet_position(const routing::fleet_position& position) { m_position = position; }
     void set_repeat_limits(const repeat_limits& limits) { m_settings.repeats = limits; }
 
     /// Starts a request on a route of `table()`. `on_answer` is called exactly once, possibly
@@ -138,7 +140,7 @@
         std::shared_ptr<replica> target;
         /// Some live replica has no connection available.
         bool is_saturated = false;
-        /// Some live replica wants no requests for now.
+        /// Some live replica is closed for now.
         bool is_closed = false;
     };
 
@@ -195,8 +197,8 @@
                            });
     }
 
-    /// When the first replica of the service that wants no requests for now takes them again. Empty
-    /// when there is none, or when another one takes requests.
+    /// When the first closed replica of the service takes requests again. Empty when there is none,
+    /// or when another one takes requests.
     std::optional<base::time_point> find_reopening(const std::string& service) const
     {
         const base::time_point now = m_clock.now();
@@ -207,8 +209,9 @@
                 continue;
             if (!candidate->is_closed(now))
                 return std::nullopt;
-            if (!result || candidate->closed_until() < *result)
-                result = candidate->closed_until();
+            const base::time_point reopening = candidate->reopens_at(now);
+            if (!result || reopening < *result)
+                result = reopening;
         }
         return result;
     }
@@ -251,7 +254,8 @@
     }
     bool may_repeat(const std::string& service)
     {
-        return budget_of(service).allows_repeat(m_clock.now(), m_settings.repeats, m_vm_count);
+        return budget_of(service).allows_repeat(m_clock.now(), m_settings.repeats,
+                                                m_position.vm_count);
     }
     void record_repeat(const std::string& service)
     {
@@ -413,9 +417,12 @@
                                  result.outcome == attempt_outcome::refused;
         if (!is_complete)
             return;
-        if (result.request_limit.has_value() != target.request_limit().has_value())
+        if (result.request_limit.has_value() != target.has_request_limit())
             m_observer.on_replica_limited(target, result.request_limit);
-        target.record_request_limit(result.request_limit);
+        if (result.request_limit)
+            target.record_request_limit(*result.request_limit, m_position, m_clock.now());
+        else
+            target.clear_request_limit();
     }
 
     void drop(const std::shared_ptr<attempt_type>& given_up)
@@ -464,7 +471,7 @@
     timer_queue m_timers;
     std::shared_ptr<const route_table> m_table;
     isolation_monitor m_isolation_monitor;
-    std::size_t m_vm_count = 1;
+    routing::fleet_position m_position;
     // By route name.
     std::map<std::string, std::shared_ptr<route_knowledge>> m_statistics;
     std::map<std::string, traffic_split> m_splits;
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -80,6 +80,8 @@
 void replica::record_sent(base::time_point sent_at)
 {
     m_outstanding.push_back(sent_at);
+    if (m_rate_share)
+        m_rate_share->record_request(sent_at);
     if (!m_silent_since)
         m_silent_since = sent_at;
 }
@@ -133,6 +135,15 @@
     m_is_reopening = true;
 }
 
+void replica::record_request_limit(double requests_per_second,
+                                   const routing::fleet_position& position, base::time_point now)
+{
+    if (m_rate_share)
+        m_rate_share->update(requests_per_second, position, now);
+    else
+        m_rate_share.emplace(requests_per_second, position, now);
+}
+
 void replica::record_connection_loss(base::time_point sent_at, base::time_point now)
 {
     remove_outstanding(sent_at);
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -3,6 +3,7 @@
 #ifndef OSPREYSTAIR_FORWARDING_REPLICA_HPP
 #define OSPREYSTAIR_FORWARDING_REPLICA_HPP
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <optional>
@@ -11,6 +12,7 @@
 #include "base/clock.hpp"
 #include "forwarding/event_rate.hpp"
 #include "forwarding/registration.hpp"
+#include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
 {
@@ -81,18 +83,26 @@
     /// later reply does not shorten the time.
     void record_closed(base::time_point end);
     /// Whether a new request must not be sent now: the replica wants none, or did so before and has
-    /// not yet answered the one request that checks whether it serves again. All VMs that waited
-    /// return at the same time, so each starts with one.
+    /// not yet answered the one request that checks whether it serves again, or this VM's share of
+    /// its limit is used up. All VMs that waited return at the same time, so each starts with one.
     bool is_closed(base::time_point now) const
     {
-        return now < m_closed_until || (m_is_reopening && !m_outstanding.empty());
+        return now < m_closed_until || (m_is_reopening && !m_outstanding.empty()) ||
+               (m_rate_share && !m_rate_share->allows_request(now));
+    }
+    /// When a closed replica takes a request again.
+    base::time_point reopens_at(base::time_point now) const
+    {
+        return m_rate_share ? std::max(m_closed_until, m_rate_share->next(now)) : m_closed_until;
     }
-    /// End of the time for which the replica wants no requests.
-    base::time_point closed_until() const { return m_closed_until; }
 
-    /// The limit that the replica named in its last reply; empty when it named none.
-    std::optional<double> request_limit() const { return m_request_limit; }
-    void record_request_limit(std::optional<double> limit) { m_request_limit = limit; }
+    /// Records that the replica takes `requests_per_second` from all VMs together, of which this VM
+    /// sends its share.
+    void record_request_limit(double requests_per_second, const routing::fleet_position& position,
+                              base::time_point now);
+    /// Records that the replica names no limit any more.
+    void clear_request_limit() { m_rate_share.reset(); }
+    bool has_request_limit() const { return m_rate_share.has_value(); }
 
     /// Records that another replica answered at this address: this one no longer exists, even if
     /// the registry still lists it.
@@ -149,8 +159,8 @@
     base::time_point m_closed_until{};
     // Whether no request has succeeded since m_closed_until.
     bool m_is_reopening = false;
-    // Requests a second from all VMs together.
-    std::optional<double> m_request_limit;
+    // Present while the replica names a limit on its requests.
+    std::optional<routing::rate_share> m_rate_share;
     // End of the slow phase after the replica's start.
     base::time_point m_warm_up_end{};
     // Send times of outstanding attempts, oldest first.
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -38,7 +38,10 @@
     }
     void on_replica_leaving(const replica&) { ++leaving; }
     void on_replica_closed(const replica&, milliseconds) { ++closures; }
-    void on_replica_limited(const replica&, std::optional<double>) {}
+    void on_replica_limited(const replica&, std::optional<double> limit)
+    {
+        limits.push_back(limit);
+    }
     template<class Run>
     void on_no_hedge(const Run&, const std::string&, std::string_view reason)
     {
@@ -50,6 +53,7 @@
     int budget_refusals = 0;
     int leaving = 0;
     int closures = 0;
+    std::vector<std::optional<double>> limits;
 };
 
 using test_dispatcher =
@@ -69,6 +73,7 @@
     bool is_leaving = false;
     std::optional<milliseconds> closed_for = {};
     std::optional<load_report> load = {};
+    std::optional<double> request_limit = {};
 };
 
 class fake_transport
@@ -102,6 +107,7 @@
         result.is_leaving = behaviour.is_leaving;
         result.closed_for = behaviour.closed_for;
         result.load = behaviour.load;
+        result.request_limit = behaviour.request_limit;
         result.reply.receipt = "receipt of " + id;
         result.reply.body = "0123456789abcde" + id.substr(0, 1);
         base::duration latency = behaviour.latency;
@@ -478,11 +484,65 @@
     EXPECT_EQ(m_latency, base::duration{0});
     EXPECT_TRUE(m_transport.sent.empty());
     ASSERT_TRUE(result.retry_after);
-    const base::time_point opens_at = m_directory.replicas().at("a2")->closed_until();
+    const base::time_point opens_at = m_directory.replicas().at("a2")->reopens_at(m_clock.now());
     EXPECT_GE(refused_at + *result.retry_after, opens_at);
     EXPECT_LE(refused_at + *result.retry_after, opens_at + 250ms);
 }
 
+// Guards against a replica in need that gets far more requests than the limit that it named to all
+// VMs, and against one that stays limited after it has recovered.
+TEST_F(dispatcher_test, replica_that_names_a_limit_gets_this_vms_share_until_it_names_none)
+{
+    constexpr std::size_t vm_count = 3;
+    constexpr double limit = 6;
+    add_replicas({{"a", 2}});
+    adopt(single(true));
+    m_dispatcher.set_fleet_position({vm_count});
+    m_transport.behaviours["a1"].request_limit = limit;
+    const auto send_for_ten_seconds = [this]
+    {
+        m_transport.sent.clear();
+        for (int index = 0; index < 400; ++index)
+        {
+            submit();
+            run_for(25ms);
+            ASSERT_TRUE(m_answer);
+            EXPECT_EQ(m_answer->kind, answer_kind::relayed);
+        }
+    };
+    send_for_ten_seconds();
+    const auto limited = std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1");
+    EXPECT_LE(limited, 10 * limit / vm_count + 2);
+    EXPECT_GE(limited, 0.8 * 10 * limit / vm_count);
+    ASSERT_EQ(m_observer.limits.size(), 1U);
+    m_transport.behaviours["a1"].request_limit.reset();
+    send_for_ten_seconds();
+    EXPECT_GE(std::count(m_transport.sent.begin(), m_transport.sent.end(), "a1"), 100);
+    ASSERT_EQ(m_observer.limits.size(), 2U);
+    EXPECT_FALSE(m_observer.limits.back());
+}
+
+// Guards against queries that use up the shares of some shards although others have none left, and
+// against callers that wait for what cannot be served.
+TEST_F(dispatcher_test, query_beyond_the_limits_of_its_shards_is_refused_at_once_and_sends_nothing)
+{
+    add_replicas({{"a", 1}, {"b", 1}});
+    adopt(gather({"a", "b"}, 1));
+    m_dispatcher.set_fleet_position({10});
+    m_transport.behaviours["a1"].request_limit = 5;
+    ASSERT_EQ(submit_and_wait().kind, answer_kind::gathered);
+    m_transport.sent.clear();
+    const base::time_point refused_at = m_clock.now();
+    const base::time_point opens_at = m_directory.replicas().at("a1")->reopens_at(refused_at);
+    ASSERT_GT(opens_at, refused_at);
+    submit();
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->kind, answer_kind::not_run);
+    EXPECT_TRUE(m_transport.sent.empty());
+    ASSERT_TRUE(m_answer->retry_after);
+    EXPECT_GE(refused_at + *m_answer->retry_after, opens_at);
+}
+
 // Replays the load of a large fleet while two of the three replicas of each shard refuse 60 in 100
 // requests for nine seconds: a VM sends one query a second to 90 shards, and its share of the
 // budget is three to four repeats in ten seconds for each shard. Guards against choosing replicas
@@ -502,7 +562,7 @@
     add_replicas(services);
     adopt(gather(shards, 0.95));
     constexpr std::size_t vm_count = 76;
-    m_dispatcher.set_vm_count(vm_count);
+    m_dispatcher.set_fleet_position({vm_count});
     m_dispatcher.set_repeat_limits({0.2, 192, 10'000ms});
     for (int index = 0; index < 12; ++index)
         submit_and_wait();
--- /dev/null
+++ b/tests/unit/routing_rate_test.cpp
@@ -0,0 +1,130 @@
+// The rate that an upstream takes from all VMs, as all VMs together use it.
+
+#include <chrono>
+#include <vector>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include "base/random.hpp"
+#include "routing/rate_share.hpp"
+
+namespace ospreystair::routing
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+/// VMs that send to one upstream as often as their shares and their own demand allow.
+class fleet_rate_test : public testing::Test
+{
+protected:
+    static constexpr base::duration step = 10ms;
+    static constexpr base::duration window = 4s;
+
+    void start(std::size_t vm_count, double limit)
+    {
+        m_limit = limit;
+        for (std::size_t vm = 0; vm < vm_count; ++vm)
+            m_shares.emplace_back(limit, fleet_position{vm_count, vm, base::time_point{}}, m_now);
+    }
+
+    /// Each VM wants to send `requests_per_second` on average for `duration`.
+    void send_for(base::duration duration, double requests_per_second)
+    {
+        const double probability =
+            requests_per_second * std::chrono::duration<double>(step).count();
+        for (const base::time_point end = m_now + duration; m_now < end; m_now += step)
+            for (rate_share& share : m_shares)
+                if (choose_fraction() < probability && share.allows_request(m_now))
+                {
+                    share.record_request(m_now);
+                    m_arrivals.push_back(m_now);
+                }
+    }
+
+    /// Largest number of arrivals in any window.
+    double most_in_window() const
+    {
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < m_arrivals.size(); ++last)
+        {
+            while (m_arrivals[first] + window <= m_arrivals[last])
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return static_cast<double>(most);
+    }
+
+    /// What the upstream bears in a window.
+    double tolerated() const
+    {
+        return 1.5 * m_limit * std::chrono::duration<double>(window).count() + 5;
+    }
+
+    double choose_fraction() { return static_cast<double>(m_random.below(1'000'000)) / 1e6; }
+
+    base::seeded_random m_random{41};
+    base::time_point m_now = base::time_point{} + 100s;
+    double m_limit = 0;
+    std::vector<rate_share> m_shares;
+    std::vector<base::time_point> m_arrivals;
+};
+
+// Guards against VMs that each keep the whole limit, and against shares that leave most of it
+// unused.
+TEST_F(fleet_rate_test, vms_with_much_demand_use_most_of_the_limit_and_never_exceed_it)
+{
+    for (const std::size_t vm_count : {1U, 9U, 76U, 195U, 410U})
+        for (const double limit : {0.5, 2.4, 8.5, 27.3, 200.0})
+        {
+            SCOPED_TRACE(testing::Message() << vm_count << " VMs, limit " << limit);
+            m_shares.clear();
+            m_arrivals.clear();
+            start(vm_count, limit);
+            const base::time_point begin = m_now;
+            send_for(60s, 5);
+            const double seconds = std::chrono::duration<double>(m_now - begin).count();
+            EXPECT_LE(most_in_window(), tolerated());
+            const double demand = 5.0 * static_cast<double>(vm_count);
+            EXPECT_GE(static_cast<double>(m_arrivals.size()),
+                      0.6 * std::min(limit, demand) * seconds - 1);
+        }
+}
+
+// Guards against VMs of a large fleet that each keep a permit of a quiet time and use it in the
+// same burst.
+RC_GTEST_FIXTURE_PROP(fleet_rate_test, burst_after_a_quiet_time_stays_within_the_limit, ())
+{
+    const auto vm_count = *rc::gen::inRange<std::size_t>(1, 411);
+    const auto tenths = *rc::gen::inRange(0, 500);
+    start(vm_count, tenths / 10.0);
+    send_for(10s, 0.05);
+    send_for(4s, 50);
+    RC_ASSERT(most_in_window() <= tolerated());
+}
+
+// Guards against a limit of zero after which the VMs never hear that it has ended.
+TEST_F(fleet_rate_test, limit_of_zero_still_allows_a_request_now_and_then)
+{
+    start(9, 0);
+    send_for(60s, 5);
+    EXPECT_LE(most_in_window(), tolerated());
+    EXPECT_GE(m_arrivals.size(), 5U);
+}
+
+TEST_F(fleet_rate_test, refused_request_is_told_when_the_next_may_be_sent)
+{
+    start(2, 1);
+    rate_share& share = m_shares.front();
+    m_now = share.next(m_now);
+    ASSERT_TRUE(share.allows_request(m_now));
+    share.record_request(m_now);
+    EXPECT_FALSE(share.allows_request(m_now));
+    EXPECT_EQ(share.next(m_now), m_now + 2s);
+}
+
+} // namespace
+} // namespace ospreystair::routing
