Routing: Keep the limits that upstreams name to all entries

Change: upstreams name it with X-Request-Limit, the tracker keeps this VM's share (routing/rate_share, by the live members), and the selector leaves out replicas at their limit. The stand-in upstream takes "request_limit".

--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -161,6 +161,8 @@
     {
         result.answer = to_json_text(reply->body());
         routing_reply.is_draining = is_true(*reply, "X-Draining");
+        routing_reply.is_complete = true;
+        routing_reply.request_limit = query::find_request_limit(*reply);
         routing_reply.result = result.result == dispatch::outcome::ran
                                    ? query::sub_result::answered
                                    : query::sub_result::overloaded;
--- a/programs/entry/entry_policy.cpp
+++ b/programs/entry/entry_policy.cpp
@@ -67,7 +67,7 @@
 entry_policy::entry_policy(const steady_clock& clock, view_holder& views, observe::metrics& metrics,
                            const base::process_identity& identity, std::uint64_t seed)
     : m_clock(clock), m_views(views), m_tracker(clock), m_selector(m_tracker, identity.data_centre),
-      m_share(clock, identity.vm), m_next_seed(seed),
+      m_share(clock, identity.vm), m_vm(identity.vm), m_next_seed(seed),
       m_sub_request_count(metrics.find_counter("ospreystair_sub_requests_total")),
       m_hedge_count(metrics.find_counter("ospreystair_hedges_total")),
       m_retry_count(metrics.find_counter("ospreystair_retries_total"))
@@ -80,6 +80,7 @@
     for (const configuration::member& item : view.members)
         if (item.is_live())
             live_vms.push_back(item.vm);
+    m_tracker.set_fleet_position(routing::find_fleet_position(m_vm, live_vms));
     m_share.update(std::move(live_vms));
     m_tracker.update(view.configuration, view.draining);
 }
@@ -134,6 +135,8 @@
                           base::duration elapsed)
 {
     m_tracker.finish(target.name, to_error_kind(reply), elapsed);
+    if (reply.is_complete)
+        m_tracker.record_request_limit(target.name, reply.request_limit);
     if (!reply.is_draining)
         return;
     m_tracker.mark_draining(target.name);
--- a/programs/entry/entry_policy.hpp
+++ b/programs/entry/entry_policy.hpp
@@ -97,6 +97,7 @@
     routing::replica_tracker<steady_clock> m_tracker;
     routing::replica_selector<steady_clock> m_selector;
     routing::connection_share<steady_clock> m_share;
+    const std::string m_vm;
     base::sharded_map<std::string, std::shared_ptr<service_policy>> m_services;
     std::atomic<std::uint64_t> m_next_seed;
     observe::counter& m_sub_request_count;
--- a/source/query/sub_request.hpp
+++ b/source/query/sub_request.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -58,6 +59,11 @@
     std::string body;
     /// The replica reported that it is draining.
     bool is_draining = false;
+    /// Whether a whole reply arrived, so that `request_limit` is up to date.
+    bool is_complete = false;
+    /// Requests a second that the replica takes from all VMs together; empty when it names no
+    /// limit.
+    std::optional<double> request_limit;
     /// There was no connection to the replica: no byte was sent, so the attempt caused no load on
     /// the upstream.
     bool is_unsent = false;
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -3,6 +3,8 @@
 #include "query/upstream_client.hpp"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <memory>
 #include <optional>
 #include <set>
@@ -98,6 +100,17 @@
 
 } // namespace
 
+std::optional<double> find_request_limit(const http::response& reply)
+{
+    const std::string_view text = header(reply, "X-Request-Limit");
+    double value = 0;
+    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() ||
+        !std::isfinite(value) || value < 0)
+        return std::nullopt;
+    return value;
+}
+
 upstream_client::upstream_client(asio::io_context& context, observe::metrics& metrics)
     : m_context(context),
       m_wrong_version_count(metrics.find_counter("ospreystair_replies_wrong_version_total")),
@@ -239,6 +252,8 @@
             fmt::format("the replica answered with status {}; see its log", reply.result_int()));
     }
     result.is_draining = header(reply, "X-Draining") == "true";
+    result.is_complete = result.result != sub_result::mismatched;
+    result.request_limit = find_request_limit(reply);
     return result;
 }
 
--- a/source/query/upstream_client.hpp
+++ b/source/query/upstream_client.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "base/sharded_map.hpp"
@@ -16,6 +17,10 @@
 namespace ospreystair::query
 {
 
+/// Returns the requests a second that the replica takes from all VMs together, as its reply names
+/// them; empty when it names none or the text is no number.
+std::optional<double> find_request_limit(const http::response& reply);
+
 /// Owns the connection pools of all replicas. Thread-safe.
 class upstream_client
 {
--- a/source/routing/rate_share.hpp
+++ b/source/routing/rate_share.hpp
@@ -6,6 +6,8 @@
 #include <algorithm>
 #include <chrono>
 #include <cstddef>
+#include <string>
+#include <vector>
 
 #include "base/clock.hpp"
 
@@ -24,6 +26,10 @@
     bool operator==(const fleet_position&) const = default;
 };
 
+/// Returns the place of `own_vm` among `vms`. A VM that is not listed yet takes its turn at any
+/// time.
+fleet_position find_fleet_position(const std::string& own_vm, std::vector<std::string> vms);
+
 /// Guards against this failure: an upstream in need names the rate that it can take, every VM hears
 /// it, and together they go on sending several times as much.
 ///
--- a/source/routing/replica_selector.hpp
+++ b/source/routing/replica_selector.hpp
@@ -91,8 +91,12 @@
                 candidates.push_back({&replica, state});
         }
         limit_ejections(candidates);
-        remove_if(candidates, [excluded](const candidate& each)
-                  { return each.state.is_ejected || contains(excluded, each.replica->name); });
+        remove_if(candidates,
+                  [excluded](const candidate& each)
+                  {
+                      return each.state.is_ejected || each.state.is_limited ||
+                             contains(excluded, each.replica->name);
+                  });
         return candidates;
     }
 
@@ -212,6 +216,7 @@
     {
         std::size_t draining_count = 0;
         std::size_t ejected_count = 0;
+        std::size_t limited_count = 0;
         std::size_t tried_count = 0;
         for (const configuration::replica& replica : shard.replicas)
         {
@@ -220,18 +225,21 @@
                 ++tried_count;
             else if (state.is_draining)
                 ++draining_count;
+            else if (state.is_limited)
+                ++limited_count;
             else
                 ++ejected_count;
         }
-        const bool is_shard_draining = draining_count > 0 && ejected_count == 0;
-        base::fail(reason,
-                   is_shard_draining ? base::error_kind::draining : base::error_kind::unreachable,
-                   fmt::format("shard {} has no usable replica: {} tried, {} draining, {} ejected "
-                               "after failures; {}",
-                               shard.name, tried_count, draining_count, ejected_count,
-                               is_shard_draining ? "add a replica or end the drain"
-                                                 : "check the replicas' processes and network"),
-                   std::chrono::milliseconds{1000});
+        const bool is_shard_draining =
+            draining_count > 0 && ejected_count == 0 && limited_count == 0;
+        base::fail(
+            reason, is_shard_draining ? base::error_kind::draining : base::error_kind::unreachable,
+            fmt::format("shard {} has no usable replica: {} tried, {} draining, {} at their "
+                        "limit, {} ejected after failures; {}",
+                        shard.name, tried_count, draining_count, limited_count, ejected_count,
+                        is_shard_draining ? "add a replica or end the drain"
+                                          : "check the replicas' processes and network"),
+            std::chrono::milliseconds{1000});
         return nullptr;
     }
 
--- a/source/routing/replica_tracker.hpp
+++ b/source/routing/replica_tracker.hpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cmath>
 #include <cstdint>
+#include <mutex>
 #include <optional>
 #include <set>
 #include <string>
@@ -17,6 +18,7 @@
 #include "base/error.hpp"
 #include "base/sharded_map.hpp"
 #include "configuration/document.hpp"
+#include "routing/rate_share.hpp"
 
 namespace ospreystair::routing
 {
@@ -47,6 +49,8 @@
     base::time_point ejected_until{};
     /// The replica shed a request within the last `shed_avoidance_time`.
     bool is_shedding = false;
+    /// This VM's share of the limit that the replica names is used up for now.
+    bool is_limited = false;
     /// Share of the normal load that the replica receives while it warms up, above 0 and up to 1.
     double warm_up_share = 1;
     /// The last report, while it is recent.
@@ -113,6 +117,8 @@
                             [this](replica_state& replica)
                             {
                                 ++replica.in_flight;
+                                if (replica.rate)
+                                    replica.rate->record_request(m_clock.now());
                                 const bool is_probe = is_probe_due(replica, m_clock.now());
                                 if (is_probe)
                                     replica.is_probe_in_flight = true;
@@ -157,6 +163,31 @@
                      });
     }
 
+    /// Records the requests a second that the replica takes from all VMs together, as its last
+    /// reply names them; empty when it names none.
+    void record_request_limit(const std::string& name, std::optional<double> requests_per_second)
+    {
+        const fleet_position position = load_position();
+        update_state(name,
+                     [&](replica_state& replica)
+                     {
+                         if (!requests_per_second)
+                             replica.rate.reset();
+                         else if (replica.rate)
+                             replica.rate->update(*requests_per_second, position, m_clock.now());
+                         else
+                             replica.rate.emplace(*requests_per_second, position, m_clock.now());
+                         return true;
+                     });
+    }
+
+    /// Sets this VM's place among the VMs that share the limits.
+    void set_fleet_position(const fleet_position& position)
+    {
+        const std::scoped_lock lock(m_position_mutex);
+        m_position = position;
+    }
+
     /// Stores a load report. Reports only break ties and never override this process's own
     /// observations.
     void record_report(const std::string& name, const load_report& report)
@@ -200,8 +231,16 @@
         std::optional<base::time_point> last_shed_at;
         load_report report;
         std::optional<base::time_point> reported_at;
+        // Present while the replica names a limit on its requests.
+        std::optional<rate_share> rate;
     };
 
+    fleet_position load_position() const
+    {
+        const std::scoped_lock lock(m_position_mutex);
+        return m_position;
+    }
+
     template<class Change>
     auto update_state(const std::string& name, Change operation)
     {
@@ -379,6 +418,7 @@
         result.ejected_until = replica.ejected_until;
         result.is_shedding =
             replica.last_shed_at && now - *replica.last_shed_at < m_settings.shed_avoidance_time;
+        result.is_limited = replica.rate && !replica.rate->allows_request(now);
         result.warm_up_share = warm_up_share(replica, now);
         if (replica.reported_at && now - *replica.reported_at < m_settings.report_lifetime)
             result.report = replica.report;
@@ -390,6 +430,9 @@
     // Used by `update` only.
     bool m_has_configuration = false;
     base::sharded_map<std::string, replica_state> m_replicas;
+    mutable std::mutex m_position_mutex;
+    // Guarded by m_position_mutex.
+    fleet_position m_position;
 };
 
 } // namespace ospreystair::routing
--- a/standins/upstream/behaviour.cpp
+++ b/standins/upstream/behaviour.cpp
@@ -149,6 +149,11 @@
         return set_number(shed_probability, value);
     if (name == "retry_after_s")
         return set_integer(retry_after_s, value);
+    if (name == "request_limit")
+    {
+        request_limit.reset();
+        return value.isNull() || set_number(request_limit.emplace(), value);
+    }
     if (name == "ignore_cancellation")
         return set_flag(ignores_cancellation, value);
     if (name == "frozen")
--- a/standins/upstream/behaviour.hpp
+++ b/standins/upstream/behaviour.hpp
@@ -6,7 +6,7 @@
 //       "base_ms":2.5,"straggler_probability":0.01,"straggler_factor":10,
 //       "cold_start_ms":3000,"cold_start_factor":5,     cold start from now on, for that time
 //       "draining":true,"drain_refuse_after_ms":2000,   X-Draining at once, refusals later
-//       "shed_probability":0.5,"retry_after_s":1,
+//       "shed_probability":0.5,"retry_after_s":1,"request_limit":20,
 //       "health":"auto"|"ok"|"failing","load":{…}|null, reported by GET /health and /load
 //       "versions":{"7":["s0"],"8":["s0a"]},            replaces all versions
 //       "publish":{"version":8,"shards":["s0a"]},"drop":[7],
@@ -135,6 +135,9 @@
     double drain_refuse_after_ms = 1e9;
     double shed_probability = 0;
     std::uint64_t retry_after_s = 1;
+    /// Requests a second that the replica takes from all VMs together, named in each reply while
+    /// set.
+    std::optional<double> request_limit;
     bool ignores_cancellation = false;
     bool is_frozen = false;
     /// Overrides the state that GET /health reports, when set.
--- a/standins/upstream/replica.cpp
+++ b/standins/upstream/replica.cpp
@@ -395,6 +395,8 @@
     http::response& reply = result.reply;
     if (m_behaviour.is_draining())
         reply.set("X-Draining", "true");
+    if (m_behaviour.request_limit)
+        reply.set("X-Request-Limit", fmt::format("{}", *m_behaviour.request_limit));
     reply.version(current_exchange.message.version());
     reply.keep_alive(current_exchange.message.keep_alive());
     reply.prepare_payload();
--- a/tests/unit/routing_replica_test.cpp
+++ b/tests/unit/routing_replica_test.cpp
@@ -40,6 +40,11 @@
         m_tracker.finish(name, result, latency);
     }
 
+    void name_limit(const std::string& name, std::optional<double> requests_per_second)
+    {
+        m_tracker.record_request_limit(name, requests_per_second);
+    }
+
     void fail_requests(const std::string& name, int times = 5)
     {
         for (int count = 0; count < times; ++count)
@@ -91,6 +96,33 @@
     EXPECT_EQ(choose({"r1"}), "r0");
 }
 
+// Guards against a replica in need that gets far more requests than the limit that it names, and
+// against a limit that outlasts the need.
+TEST_F(replica_test, replica_that_names_a_limit_gets_its_rate_until_it_names_none)
+{
+    const auto count_sent_in_ten_seconds = [this]
+    {
+        int count = 0;
+        for (int index = 0; index < 1'000; ++index)
+        {
+            const std::string name = choose();
+            send_request(name, error_kind::none);
+            count += name == "r0" ? 1 : 0;
+            m_clock.advance(10ms);
+        }
+        return count;
+    };
+    name_limit("r0", 4);
+    const int count = count_sent_in_ten_seconds();
+    EXPECT_GE(count, 30);
+    EXPECT_LE(count, 42);
+    while (choose({"r1"}) == "r0")
+        send_request("r0", error_kind::none);
+    EXPECT_NE(m_reason.message.find("1 at their limit"), std::string::npos);
+    name_limit("r0", std::nullopt);
+    EXPECT_GT(count_sent_in_ten_seconds(), 200);
+}
+
 // Guards against ejection after failures that are not consecutive, and against a missing ejection.
 TEST_F(replica_test, only_consecutive_failures_eject)
 {
