Gateway: Hand requests to other VMs when the replicas are out of reach

The class: a VM answers for its own links only. Second, seen in the code: one refused connection made a replica unreachable although its open connections work.

Requests that wait for silent replicas are offered while they wait, if they may be repeated.

--- a/source/forwarding/answer.hpp
+++ b/source/forwarding/answer.hpp
@@ -56,11 +56,19 @@
     std::string records;
     /// Set with `not_run`: how long the caller should wait before it sends the request again.
     std::optional<std::chrono::milliseconds> retry_after;
+    /// Set with `not_run` and `failed`: this VM reaches too few replicas, so that another VM may
+    /// serve the request.
+    bool is_out_of_reach = false;
     /// Why the request did not succeed, or why parts are missing.
     std::string reason;
     /// Number of attempts sent to replicas, and how many of them were repeats (retries or hedges).
     std::uint32_t sends = 0;
     std::uint32_t repeats = 0;
+
+    bool has_succeeded() const
+    {
+        return kind == answer_kind::relayed || kind == answer_kind::gathered;
+    }
 };
 
 } // namespace ospreystair::forwarding
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -18,6 +18,7 @@
 
 #include "base/random.hpp"
 #include "forwarding/isolation_monitor.hpp"
+#include "forwarding/reach_monitor.hpp"
 #include "forwarding/repeat_budget.hpp"
 #include "forwarding/replica_directory.hpp"
 #include "forwarding/request_run.hpp"
@@ -76,7 +77,7 @@
     dispatcher(const Clock& clock, Random& random, Transport& transport, Observer& observer,
                replica_directory& directory, dispatcher_settings settings)
         : m_clock(clock), m_random(random), m_transport(transport), m_observer(observer),
-          m_directory(directory), m_settings(std::move(settings))
+          m_directory(directory), m_settings(std::move(settings)), m_reach_monitor(clock.now())
     {
     }
 
@@ -130,6 +131,34 @@
     /// Whether this VM is cut off from other data centres, so that their VMs serve callers better.
     bool is_isolated() const { return m_isolation_monitor.is_isolated(); }
 
+    /// Updates and returns whether this VM has lost all replicas.
+    bool update_reach()
+    {
+        const base::time_point now = m_clock.now();
+        const bool was_cut_off = m_reach_monitor.is_cut_off();
+        const bool is_cut_off = m_reach_monitor.update(m_directory, now);
+        if (is_cut_off && !was_cut_off)
+            m_observer.on_reach_changed(true, now - m_reach_monitor.last_reply());
+        return is_cut_off;
+    }
+    /// Whether a VM that has lost all replicas should try them with a request now.
+    bool start_reach_trial() { return m_reach_monitor.start_trial(m_directory, m_clock.now()); }
+    /// Time of the last reply of a replica.
+    base::time_point last_reply() const { return m_reach_monitor.last_reply(); }
+
+    /// Whether this VM could serve a request on the route now.
+    bool can_serve(const route& rule) const
+    {
+        if (!rule.is_gather())
+            return std::any_of(rule.services.begin(), rule.services.end(),
+                               [this](const weighted_service& each)
+                               { return has_live_replica(each.service); });
+        const auto servable = static_cast<std::size_t>(
+            std::count_if(rule.shards.begin(), rule.shards.end(),
+                          [this](const std::string& shard) { return has_live_replica(shard); }));
+        return servable >= std::min(rule.shards.size(), rule.min_parts());
+    }
+
     timer_queue& timers() { return m_timers; }
     base::time_point now() const { return m_clock.now(); }
 
@@ -197,6 +226,17 @@
                            });
     }
 
+    /// Whether the service has replicas, and this VM reaches none of them.
+    bool is_out_of_reach(const std::string& service) const
+    {
+        const base::time_point now = m_clock.now();
+        const auto& candidates = m_directory.replicas_of(service);
+        return !candidates.empty() &&
+               std::none_of(candidates.begin(), candidates.end(),
+                            [now](const std::shared_ptr<replica>& candidate)
+                            { return candidate->is_ready() && !candidate->is_down(now); });
+    }
+
     /// When the first closed replica of the service takes requests again. Empty when there is none,
     /// or when another one takes requests.
     std::optional<base::time_point> find_reopening(const std::string& service) const
@@ -361,6 +401,8 @@
     {
         const base::time_point now = m_clock.now();
         replica& target = *ended.target;
+        if (result.outcome != attempt_outcome::lost && result.outcome != attempt_outcome::not_sent)
+            record_contact(now);
         switch (result.outcome)
         {
         case attempt_outcome::succeeded:
@@ -390,6 +432,13 @@
         record_announcements(target, result);
     }
 
+    void record_contact(base::time_point now)
+    {
+        if (m_reach_monitor.is_cut_off())
+            m_observer.on_reach_changed(false, now - m_reach_monitor.last_reply());
+        m_reach_monitor.record_reply(now);
+    }
+
     // Records what the replica says about itself. Another replica at its address says nothing about
     // it.
     void record_announcements(replica& target, const attempt_result& result)
@@ -471,6 +520,7 @@
     timer_queue m_timers;
     std::shared_ptr<const route_table> m_table;
     isolation_monitor m_isolation_monitor;
+    reach_monitor m_reach_monitor;
     routing::fleet_position m_position;
     // By route name.
     std::map<std::string, std::shared_ptr<route_knowledge>> m_statistics;
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -111,6 +111,8 @@
 
     /// Records that a connection could not be opened. The replica is unreachable until one is.
     void record_connect_failure(base::time_point now);
+    /// Records that the replica closed a new connection at once, as at its connection limit.
+    void record_rejection(base::time_point now) { m_last_failure = now; }
     void record_connected(base::time_point now)
     {
         m_connect_failures = 0;
@@ -123,6 +125,8 @@
     base::time_point reconnect_at() const { return m_reconnect_at; }
 
     std::size_t outstanding() const { return m_outstanding.size(); }
+    /// Time of the last attempt or connection that failed without a reply.
+    base::time_point last_failure() const { return m_last_failure; }
     /// Time of the last reply or new connection.
     base::time_point last_contact() const { return m_last_contact; }
 
@@ -166,6 +170,7 @@
     // Send times of outstanding attempts, oldest first.
     std::vector<base::time_point> m_outstanding;
     base::time_point m_last_contact;
+    base::time_point m_last_failure{};
     // Start of the current silence: the first send since the last reply, or that reply if attempts
     // were outstanding then.
     std::optional<base::time_point> m_silent_since;
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -19,6 +19,7 @@
 
 #include "forwarding/answer.hpp"
 #include "forwarding/query_part.hpp"
+#include "forwarding/reach_monitor.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/straggler_rule.hpp"
 #include "forwarding/timer_queue.hpp"
@@ -125,6 +126,33 @@
         finish(std::move(result));
     }
 
+    /// Ends the request because another VM has answered it.
+    void on_answered_elsewhere()
+    {
+        if (m_is_finished)
+            return;
+        answer result;
+        result.kind = answer_kind::abandoned;
+        result.reason = "another VM has answered";
+        finish(std::move(result));
+    }
+
+    /// Ends the request, which may have run, because another VM can serve it better.
+    void on_out_of_reach()
+    {
+        if (m_is_finished)
+            return;
+        answer result;
+        result.kind = answer_kind::failed;
+        result.is_out_of_reach = true;
+        result.reason = "this VM has lost all replicas";
+        finish(std::move(result));
+    }
+
+    /// `action` is called at most once, when this VM has lost all replicas while the request waits
+    /// for them and another VM may run it too.
+    void on_reach_lost(std::function<void()> action) { m_on_reach_lost = std::move(action); }
+
     const std::string& id() const { return m_request.id; }
     const route& rule() const { return m_route; }
     std::uint64_t version() const { return m_table->version(); }
@@ -182,6 +210,31 @@
         m_end_timer = m_dispatcher.timers().schedule(m_deadline_budget.end(), on_timer);
         if (m_route.is_gather())
             m_answer_timer = m_dispatcher.timers().schedule(m_answer_at, on_timer);
+        if (m_route.is_idempotent)
+            schedule_reach_check();
+    }
+
+    // A VM that has lost all replicas notices it by their silence, while requests wait for them.
+    void schedule_reach_check()
+    {
+        constexpr std::chrono::milliseconds margin{20};
+        m_reach_timer = m_dispatcher.timers().schedule(
+            m_dispatcher.now() + reach_monitor::silence_threshold + margin,
+            [self = this->weak_from_this()]
+            {
+                if (const auto run = self.lock())
+                    run->check_reach();
+            });
+    }
+
+    void check_reach()
+    {
+        if (m_is_finished)
+            return;
+        if (m_answered >= required_parts() || !m_dispatcher.update_reach())
+            return schedule_reach_check();
+        if (const auto action = std::exchange(m_on_reach_lost, nullptr))
+            action();
     }
 
     // Sends an attempt for the part, queues the part for a connection, or fails it.
@@ -504,6 +557,11 @@
         answer result;
         result.kind = answer_kind::not_run;
         result.retry_after = m_dispatcher.choose_retry_after(m_request.deadline, find_reopening());
+        result.is_out_of_reach = std::any_of(m_parts.begin(), m_parts.end(),
+                                             [this](const query_part& item) {
+                                                 return item.state != part_state::answered &&
+                                                        m_dispatcher.is_out_of_reach(item.service);
+                                             });
         result.reason = std::move(reason);
         finish(std::move(result));
     }
@@ -532,6 +590,8 @@
         m_dispatcher.timers().cancel(m_answer_timer);
         m_dispatcher.timers().cancel(m_hedge_timer);
         m_dispatcher.timers().cancel(m_wait_timer);
+        m_dispatcher.timers().cancel(m_reach_timer);
+        m_on_reach_lost = nullptr;
         m_dispatcher.drop_later(std::move(m_attempts));
         // The callback may destroy this object.
         const completion on_answer = std::move(m_on_answer);
@@ -546,6 +606,7 @@
     const std::shared_ptr<route_knowledge> m_statistics;
     const latency_baseline m_baseline;
     completion m_on_answer;
+    std::function<void()> m_on_reach_lost;
     const routing::deadline_budget m_deadline_budget;
     const base::time_point m_started_at;
     // When a gathered query is answered with the parts available, if they are enough.
@@ -565,6 +626,7 @@
     timer_queue::handle m_end_timer = 0;
     timer_queue::handle m_answer_timer = 0;
     timer_queue::handle m_wait_timer = 0;
+    timer_queue::handle m_reach_timer = 0;
     timer_queue::handle m_hedge_timer = 0;
     base::time_point m_hedge_timer_at{};
     // Whether overdue parts are not hedged yet because more than stragglers are missing.
--- a/source/forwarding/route_table.cpp
+++ b/source/forwarding/route_table.cpp
@@ -130,4 +130,11 @@
     return nullptr;
 }
 
+const route* route_table::find_named(std::string_view name) const
+{
+    const auto found = std::find_if(m_routes.begin(), m_routes.end(),
+                                    [name](const route& each) { return each.name == name; });
+    return found == m_routes.end() ? nullptr : &*found;
+}
+
 } // namespace ospreystair::forwarding
--- a/source/forwarding/route_table.hpp
+++ b/source/forwarding/route_table.hpp
@@ -95,6 +95,8 @@
     /// Returns the route with the longest prefix of `path` among those of `host`, or null. `host`
     /// may have upper-case letters and a port; a query string in `path` is ignored.
     const route* find_route(std::string_view host, std::string_view path) const;
+    /// Returns the route with this name; null when there is none.
+    const route* find_named(std::string_view name) const;
 
 private:
     route_table() = default;
--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -23,6 +23,14 @@
             message.body ? asio::buffer(*message.body) : asio::const_buffer()};
 }
 
+connect_outcome to_connect_outcome(const boost::system::error_code& code)
+{
+    if (code == asio::error::connection_reset)
+        return connect_outcome::reset;
+    return code == asio::error::connection_refused ? connect_outcome::refused
+                                                   : connect_outcome::failed;
+}
+
 } // namespace
 
 upstream_connection::upstream_connection(asio::io_context& context, options values,
@@ -67,8 +75,7 @@
     if (code)
     {
         m_on_close = nullptr;
-        on_open(code == asio::error::connection_reset ? connect_outcome::reset
-                                                      : connect_outcome::failed);
+        on_open(to_connect_outcome(code));
         fail(fmt::format("connect failed: {}", code.message()));
         return;
     }
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -46,8 +46,9 @@
 enum class connect_outcome
 {
     opened,
-    reset, ///< The other side accepted the connection and reset it at once.
-    failed ///< Nothing listens at the address, or nothing answered in time.
+    reset,   ///< The other side accepted the connection and reset it at once.
+    refused, ///< Nothing listens at the address, or something on the way refuses connections.
+    failed   ///< Nothing answered in time, or the address cannot be reached.
 };
 
 /// Reads continuously, so that a closure by the other side is noticed at once and bytes that belong
--- a/standins/fault_proxy/route_behaviour.cpp
+++ b/standins/fault_proxy/route_behaviour.cpp
@@ -14,9 +14,10 @@
 namespace
 {
 
-constexpr std::array<std::pair<std::string_view, route_mode>, 6> mode_names{{
+constexpr std::array<std::pair<std::string_view, route_mode>, 7> mode_names{{
     {"pass", route_mode::pass},
     {"cut", route_mode::cut},
+    {"refuse_new", route_mode::refuse_new},
     {"freeze", route_mode::freeze},
     {"drop_forward", route_mode::drop_forward},
     {"drop_backward", route_mode::drop_backward},
--- a/standins/fault_proxy/route_behaviour.hpp
+++ b/standins/fault_proxy/route_behaviour.hpp
@@ -38,6 +38,7 @@
 {
     pass,
     cut,           ///< Resets open connections and refuses new ones.
+    refuse_new,    ///< Refuses new connections; open ones work on.
     freeze,        ///< Keeps connections open and forwards nothing until the mode changes.
     drop_forward,  ///< Discards what the client sends.
     drop_backward, ///< Discards what the target sends.
--- a/standins/fault_proxy/tcp_route.cpp
+++ b/standins/fault_proxy/tcp_route.cpp
@@ -201,6 +201,12 @@
     }
     if (current_tunnel->is_closed)
         co_return false;
+    // The target can tell the routes apart by their addresses.
+    current_tunnel->target.open(m_target.protocol(), code);
+    // Else the port that is chosen may be the one on which another route is about to listen.
+    current_tunnel->target.set_option(http::tcp::socket::reuse_address(true), code);
+    if (m_listen.address().is_loopback())
+        current_tunnel->target.bind({m_listen.address(), 0}, code);
     co_await current_tunnel->target.async_connect(m_target,
                                                   asio::redirect_error(asio::use_awaitable, code));
     if (code || current_tunnel->is_closed)
@@ -361,14 +367,19 @@
     const route_mode current_mode = m_behaviour.mode();
     if (current_mode == previous_mode)
         return true;
-    if (current_mode == route_mode::cut)
+    const auto refuses = [](route_mode mode)
     {
+        return mode == route_mode::cut || mode == route_mode::refuse_new;
+    };
+    if (refuses(current_mode) && !refuses(previous_mode))
         refuse_connections();
+    if (current_mode == route_mode::cut)
+    {
         for (const auto& item : std::vector(m_tunnels.begin(), m_tunnels.end()))
             reset(*item);
         m_tunnels.clear();
     }
-    else if (previous_mode == route_mode::cut)
+    if (refuses(previous_mode) && !refuses(current_mode))
         start_accepting();
     if (current_mode == route_mode::half_open)
         for (const auto& item : m_tunnels)
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -23,9 +23,14 @@
 
 struct replica_standin::session
 {
-    explicit session(http::tcp::socket accepted) : socket(std::move(accepted)) {}
+    explicit session(http::tcp::socket accepted) : socket(std::move(accepted))
+    {
+        boost::system::error_code ignored;
+        sender = socket.remote_endpoint(ignored).address().to_string();
+    }
 
     http::tcp::socket socket;
+    std::string sender;
     boost::beast::flat_buffer buffer;
 };
 
@@ -187,7 +192,8 @@
     return m_work_ends;
 }
 
-replica_behaviour replica_standin::record_arrival(const http::request& message)
+replica_behaviour replica_standin::record_arrival(const session& client_session,
+                                                  const http::request& message)
 {
     const std::scoped_lock lock(m_mutex);
     ++m_arrivals;
@@ -205,7 +211,7 @@
     else if (!behaviour.refuses)
         ++m_executions[std::string(message["Request-Id"])];
     m_request_arrivals.push_back({std::chrono::steady_clock::now(),
-                                  std::string(message["Request-Id"]),
+                                  std::string(message["Request-Id"]), client_session.sender,
                                   behaviour.refuses && !behaviour.retry_after.empty()});
     return behaviour;
 }
@@ -262,7 +268,7 @@
                                                       const http::request& message)
 {
     boost::system::error_code code;
-    const replica_behaviour behaviour = record_arrival(message);
+    const replica_behaviour behaviour = record_arrival(*client_session, message);
     if (behaviour.latency.count() > 0)
     {
         http::asio::steady_timer timer(m_context, behaviour.latency);
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -56,6 +56,8 @@
 {
     std::chrono::steady_clock::time_point time;
     std::string request_id;
+    /// Address that the request came from.
+    std::string sender;
     /// Whether it was refused with a time for which the replica wants no requests.
     bool has_closed = false;
 };
@@ -106,7 +108,7 @@
     http::awaitable<void> serve(std::shared_ptr<session> client_session);
     http::awaitable<bool> serve_one(std::shared_ptr<session> client_session);
     http::awaitable<bool> send(std::shared_ptr<session> client_session, std::string text);
-    replica_behaviour record_arrival(const http::request& message);
+    replica_behaviour record_arrival(const session& client_session, const http::request& message);
     void record_work_end(const http::request& message);
     http::awaitable<bool> handle_request(std::shared_ptr<session> client_session,
                                          const http::request& message);
--- a/standins/users_platform/store_standin.cpp
+++ b/standins/users_platform/store_standin.cpp
@@ -52,6 +52,28 @@
     return result;
 }
 
+std::optional<http::tcp::endpoint>
+store_standin::serve_edited(std::function<void(std::string&)> edit, base::error& reason)
+{
+    const auto edited = std::make_shared<const std::function<void(std::string&)>>(std::move(edit));
+    http::server_options options;
+    options.address = {m_server->address().address(), 0};
+    auto created = http::server::create(
+        m_context, std::move(options),
+        [this, edited](const http::request& message, std::shared_ptr<http::exchange_context> peer)
+            -> http::awaitable<http::response>
+        {
+            http::response reply = co_await answer(message, std::move(peer));
+            (*edited)(reply.body());
+            co_return reply;
+        },
+        reason);
+    if (!created)
+        return std::nullopt;
+    m_edited_servers.push_back(*created);
+    return m_edited_servers.back()->address();
+}
+
 std::uint64_t store_standin::put(const std::string& kind, const std::string& name,
                                  Json::Value content)
 {
@@ -133,6 +155,8 @@
         ++m_cuts;
     }
     m_server->abort_connections();
+    for (const auto& each : m_edited_servers)
+        each->abort_connections();
 }
 
 std::uint64_t store_standin::call_count() const
--- a/standins/users_platform/store_standin.hpp
+++ b/standins/users_platform/store_standin.hpp
@@ -5,12 +5,14 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include <json/json.h>
 
@@ -44,6 +46,11 @@
 
     http::tcp::endpoint address() const { return m_server->address(); }
 
+    /// Serves the objects at a further address; `edit` changes the text of each answer. Used to
+    /// show each VM other addresses of the replicas.
+    std::optional<http::tcp::endpoint> serve_edited(std::function<void(std::string&)> edit,
+                                                    base::error& reason);
+
     /// Writes without a condition, as the platform itself does. Returns the revision.
     std::uint64_t put(const std::string& kind, const std::string& name, Json::Value content);
     void remove(const std::string& kind, const std::string& name);
@@ -105,6 +112,7 @@
 
     http::asio::io_context& m_context;
     std::shared_ptr<http::server> m_server;
+    std::vector<std::shared_ptr<http::server>> m_edited_servers;
     mutable std::mutex m_mutex;
     // This and all following members are guarded by m_mutex.
     std::map<std::string, std::map<std::string, object>> m_objects;
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <sstream>
 
@@ -81,6 +82,8 @@
     m_store = std::move(standins::store_standin::create(
                             m_context, {http::asio::ip::make_address("127.0.0.1"), 0}, reason)
                             .value());
+    for (std::size_t vm = 0; vm < m_options.vms; ++vm)
+        add_store_view(vm);
     m_thread = std::thread([this] { m_context.run(); });
     Json::Value gather = make_route("all", "/all/");
     gather.removeMember("service");
@@ -140,11 +143,82 @@
         m_context, {id, {http::asio::ip::make_address("127.0.0.1"), 0}}, reason);
     ASSERT_TRUE(created) << reason.message;
     m_replicas[id] = *created;
+    add_routes(id);
     change_replica(id, [index](standins::replica_behaviour& behaviour)
                    { behaviour.body = fmt::format("0123456789abcde{}", index % 10); });
     register_replica(id, "ready");
 }
 
+std::string platform_fleet::route_ip(std::size_t vm) const
+{
+    return make_ip(m_options.vms + vm);
+}
+
+// Each VM reads the replicas' addresses as those of its own routes.
+void platform_fleet::add_store_view(std::size_t vm)
+{
+    m_store_addresses.push_back(m_store->address());
+    if (!m_options.has_routes)
+        return;
+    const auto edit = [own = route_ip(vm) + ":"](std::string& text)
+    {
+        const std::string direct = "127.0.0.1:";
+        for (std::size_t at = text.find(direct); at != std::string::npos;
+             at = text.find(direct, at + own.size()))
+            text.replace(at, direct.size(), own);
+    };
+    base::error reason;
+    const auto address = m_store->serve_edited(edit, reason);
+    ASSERT_TRUE(address) << reason.message;
+    m_store_addresses.back() = *address;
+}
+
+void platform_fleet::add_routes(const std::string& replica_id)
+{
+    if (!m_options.has_routes)
+        return;
+    const http::tcp::endpoint target = m_replicas.at(replica_id)->address();
+    std::promise<void> is_added;
+    http::asio::post(m_context,
+                     [&]
+                     {
+                         for (std::size_t vm = 0; vm < m_options.vms; ++vm)
+                         {
+                             fault_proxy::route_settings settings;
+                             settings.listen = {route_ip(vm), target.port()};
+                             settings.target = {target.address().to_string(), target.port()};
+                             base::error reason;
+                             auto route =
+                                 fault_proxy::tcp_route::create(m_context, settings, reason);
+                             EXPECT_TRUE(route) << reason.message;
+                             const auto mode = m_route_modes.find(vm);
+                             Json::Value change(Json::objectValue);
+                             change["mode"] = mode == m_route_modes.end() ? "pass" : mode->second;
+                             if (route && (*route)->apply(change, reason))
+                                 m_routes[vm].push_back(*route);
+                         }
+                         is_added.set_value();
+                     });
+    is_added.get_future().wait();
+}
+
+void platform_fleet::set_routes(std::size_t vm, const std::string& mode)
+{
+    std::promise<void> is_set;
+    http::asio::post(m_context,
+                     [&]
+                     {
+                         m_route_modes[vm] = mode;
+                         Json::Value change;
+                         change["mode"] = mode;
+                         base::error reason;
+                         for (const auto& route : m_routes[vm])
+                             EXPECT_TRUE(route->apply(change, reason)) << reason.message;
+                         is_set.set_value();
+                     });
+    is_set.get_future().wait();
+}
+
 void platform_fleet::register_replica(const std::string& id, const std::string& state)
 {
     Json::Value entry;
@@ -238,11 +312,14 @@
 
 void platform_fleet::write_settings(gateway_vm& vm) const
 {
+    const http::tcp::endpoint& store =
+        m_store_addresses.at(static_cast<std::size_t>(&vm - m_vms.data()));
     std::ofstream file(vm.settings_path);
     file << fmt::format(R"(node = "{}"
 role = "entry"
 zone = "{}"
 ip = "{}"
+portRange = [{}, {}]
 [listen]
 front = "{}:{}"
 readiness = "{}:{}"
@@ -256,8 +333,9 @@
 [platform]
 address = "{}:{}"
 )",
-                        vm.name, vm.data_centre, vm.ip, vm.ip, caller_port, vm.ip, readiness_port,
-                        m_store->address().address().to_string(), m_store->address().port());
+                        vm.name, vm.data_centre, vm.ip, first_peer_port, first_peer_port + 5, vm.ip,
+                        caller_port, vm.ip, readiness_port, store.address().to_string(),
+                        store.port());
 }
 
 void platform_fleet::start(std::size_t vm)
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -17,6 +17,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 
 #include "http/client_connection.hpp"
+#include "standins/fault_proxy/tcp_route.hpp"
 #include "standins/users_platform/replica_standin.hpp"
 #include "standins/users_platform/store_standin.hpp"
 #include "tests/integration/child_process.hpp"
@@ -91,6 +92,8 @@
     double min_coverage = 0.5;
     std::chrono::milliseconds objective{200};
     std::chrono::milliseconds timeout{1000};
+    /// Gives each VM its own routes to the replicas, which `set_routes` cuts.
+    bool has_routes = false;
 };
 
 /// Starts all parts on construction and ends its processes on destruction. The routes of host
@@ -102,6 +105,8 @@
     static constexpr unsigned caller_port = 8101;
     static constexpr unsigned readiness_port = 8102;
     static constexpr unsigned metrics_port = 8103;
+    /// First of the ports that VMs use among themselves.
+    static constexpr unsigned first_peer_port = 8110;
 
     explicit platform_fleet(fleet_options options);
     ~platform_fleet();
@@ -135,6 +140,11 @@
     std::uint64_t publish();
     static Json::Value make_route(const std::string& name, const std::string& prefix);
 
+    /// Changes all routes of a VM to replicas: "pass", "cut", "freeze" or "refuse_new".
+    void set_routes(std::size_t vm, const std::string& mode);
+    /// The address from which a VM's requests reach the replicas.
+    std::string route_ip(std::size_t vm) const;
+
     void start(std::size_t vm);
     bool wait_until_ready(std::size_t vm);
     unsigned readiness(std::size_t vm);
@@ -152,6 +162,8 @@
 
 private:
     void write_settings(gateway_vm& vm) const;
+    void add_store_view(std::size_t vm);
+    void add_routes(const std::string& replica_id);
     http::tcp::endpoint endpoint_of(std::size_t vm, unsigned port) const;
     std::string make_id();
 
@@ -167,6 +179,12 @@
     Json::Value m_configuration;
     std::uint64_t m_version = 0;
     std::vector<gateway_vm> m_vms;
+    // Where each VM reaches the store.
+    std::vector<http::tcp::endpoint> m_store_addresses;
+    // By VM.
+    std::map<std::size_t, std::vector<std::shared_ptr<fault_proxy::tcp_route>>> m_routes;
+    // Modes of the routes that do not pass, by VM.
+    std::map<std::size_t, std::string> m_route_modes;
     std::thread m_thread;
     unsigned m_last_id = 0;
 };
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -38,6 +38,7 @@
     }
     void on_replica_leaving(const replica&) { ++leaving; }
     void on_replica_closed(const replica&, milliseconds) { ++closures; }
+    void on_reach_changed(bool, base::duration) {}
     void on_replica_limited(const replica&, std::optional<double> limit)
     {
         limits.push_back(limit);
@@ -236,6 +237,7 @@
         m_run = m_dispatcher.submit(std::move(request), m_dispatcher.table()->routes().front(),
                                     [this, start, number](answer result)
                                     { record(number, start, std::move(result)); });
+        m_run->on_reach_lost([this] { ++m_offers; });
     }
 
     /// Stores the answer to the most recent request in m_answer.
@@ -302,6 +304,8 @@
     test_dispatcher m_dispatcher{m_clock,    m_random,    m_transport,
                                  m_observer, m_directory, {{0.2, 20, 10'000ms}, "a"}};
     std::shared_ptr<test_dispatcher::run_type> m_run;
+    // Requests offered to other VMs.
+    int m_offers = 0;
     // Number of answers to each request.
     std::vector<unsigned> m_answers;
     std::optional<answer> m_answer;
@@ -543,6 +547,57 @@
     EXPECT_GE(refused_at + *m_answer->retry_after, opens_at);
 }
 
+// Guards against callers that wait until their deadline at a VM that has lost all replicas,
+// although another VM could serve them.
+TEST_F(dispatcher_test, request_of_a_vm_that_has_lost_all_replicas_is_offered_once_to_others)
+{
+    add_replicas({{"a", 2}, {"b", 2}});
+    adopt(gather({"a", "b"}, 1));
+    warm_up();
+    EXPECT_EQ(m_offers, 0);
+    for (const char* id : {"a1", "a2", "b1", "b2"})
+        m_transport.behaviours[id].is_silent = true;
+    submit();
+    run_for(600ms);
+    EXPECT_FALSE(m_answer);
+    EXPECT_EQ(m_offers, 1);
+    EXPECT_TRUE(m_dispatcher.update_reach());
+    m_run->on_answered_elsewhere();
+    ASSERT_TRUE(m_answer);
+    EXPECT_EQ(m_answer->kind, answer_kind::abandoned);
+}
+
+// Guards against a second run of a request that is not idempotent at another VM.
+TEST_F(dispatcher_test, unrepeatable_request_that_was_sent_is_not_offered_to_others)
+{
+    add_replicas({{"a", 4}});
+    adopt(single(false));
+    for (const char* id : {"a1", "a2", "a3", "a4"})
+        m_transport.behaviours[id].is_silent = true;
+    for (int index = 0; index < 4; ++index)
+        submit();
+    run_for(900ms);
+    EXPECT_EQ(m_offers, 0);
+}
+
+// Guards against requests that are handed to other VMs although their replicas want no more of
+// them.
+TEST_F(dispatcher_test, only_unreachable_replicas_put_a_request_out_of_reach)
+{
+    add_replicas({{"a", 1}});
+    adopt(single(true));
+    m_transport.behaviours["a1"].outcome = attempt_outcome::refused;
+    m_transport.behaviours["a1"].closed_for = 10s;
+    submit_and_wait();
+    answer result = submit_and_wait();
+    EXPECT_EQ(result.kind, answer_kind::not_run);
+    EXPECT_FALSE(result.is_out_of_reach);
+    m_directory.replicas().at("a1")->record_connect_failure(m_clock.now());
+    result = submit_and_wait();
+    EXPECT_EQ(result.kind, answer_kind::not_run);
+    EXPECT_TRUE(result.is_out_of_reach);
+}
+
 // Replays the load of a large fleet while two of the three replicas of each shard refuse 60 in 100
 // requests for nine seconds: a VM sends one query a second to 90 shards, and its share of the
 // budget is three to four repeats in ten seconds for each shard. Guards against choosing replicas
