Http: Bound what endless replies cost

Replicas in trouble may send bytes that are no answer without end, in a head or a body, until the caller closes.

Cause, found with nine kinds of endless replies played against both kinds of connections: the parser leaves a line without end in the buffer, which had no limit: a chunk's extension and the trailer after the last chunk grew until the peer stopped (64 MB in the test, on the gateway's and on the product's connections); interim replies were read forever. Each body was bounded (4 MB), but not those of all connections together. The class: a limit for each part of a reply that has a name, none for the rest.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -12,7 +12,7 @@
 {
 
 client_connection::client_connection(asio::io_context& context)
-    : m_stream(asio::make_strand(context))
+    : m_stream(asio::make_strand(context)), m_buffer(max_unparsed_bytes)
 {
 }
 
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -28,6 +28,9 @@
 {
 public:
     static constexpr std::size_t max_reply_bytes = 4 << 20;
+    /// Bytes that are read ahead of the parser; it leaves more only where a line, such as that of a
+    /// chunk, has no end.
+    static constexpr std::size_t max_unparsed_bytes = 128 << 10;
 
     /// Connects before `deadline`. Fails with unreachable or timeout.
     static awaitable<std::optional<std::shared_ptr<client_connection>>>
--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -37,6 +37,9 @@
         action();
 }
 
+// A line longer than this, other than of a header, does not occur in a request.
+constexpr std::size_t max_unparsed_bytes = 128U << 10U;
+
 /// One accepted connection. All members are used on the connection's strand.
 class server_connection : public std::enable_shared_from_this<server_connection>
 {
@@ -86,6 +89,8 @@
         beast::http::request_parser<beast::http::string_body> parser;
         parser.header_limit(limits.max_header_bytes);
         parser.body_limit(limits.max_body_bytes);
+        // A line without an end, such as that of a chunk, is not parsed and stays in the buffer.
+        m_buffer.max_size(std::max<std::size_t>(max_unparsed_bytes, 2 * limits.max_header_bytes));
         if (m_buffer.size() == 0)
         {
             m_stream.expires_after(limits.idle_timeout);
--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -16,6 +16,9 @@
 
 // Large enough for the reply to a sub-request with its header.
 constexpr std::size_t read_size = 2048;
+constexpr std::size_t max_unparsed_bytes = 32U << 10U;
+// A few late second replies and interim replies are normal.
+constexpr unsigned max_unexpected_replies = 16;
 
 std::array<asio::const_buffer, 3> to_buffers(const upstream_request& message)
 {
@@ -138,6 +141,9 @@
 
 void upstream_connection::read()
 {
+    // The parser leaves bytes only where a line, such as that of a chunk, has no end.
+    if (m_buffer.size() > max_unparsed_bytes)
+        return fail("the reply is malformed: a line has no end");
     m_socket.async_read_some(
         m_buffer.prepare(read_size),
         [self = shared_from_this()](const boost::system::error_code& code, std::size_t size)
@@ -181,6 +187,11 @@
             fail(fmt::format("the reply is malformed: {}", code.message()));
             return false;
         }
+        if (!count_reply_bytes(m_parser->body_size()))
+        {
+            fail("the replies in progress take too much memory");
+            return false;
+        }
         if (!m_parser->is_done())
         {
             // The parser stops after each section of a message (start line, header, body).
@@ -193,6 +204,13 @@
     return false;
 }
 
+bool upstream_connection::count_reply_bytes(std::size_t size)
+{
+    if (!m_options.memory || size == m_counted_bytes)
+        return true;
+    return m_options.memory->replace(std::exchange(m_counted_bytes, size), size);
+}
+
 void upstream_connection::on_reply()
 {
     constexpr unsigned first_final_status = 200;
@@ -200,8 +218,11 @@
     // An interim (1xx) reply is followed by the final one.
     if (m_parser->status() >= first_final_status && is_expected())
         finish_exchange();
+    else if (++m_unexpected_replies > max_unexpected_replies)
+        return fail("the other side sends replies without end");
     if (m_state != state::open)
         return;
+    count_reply_bytes(0);
     if (closes_connection)
         return fail("the other side closes the connection");
     m_parser.emplace();
@@ -222,6 +243,7 @@
 {
     const auto on_result = std::exchange(m_on_result, nullptr);
     m_message.reset();
+    m_unexpected_replies = 0;
     // The remaining bytes of a request that was answered early would be read as the next request.
     const bool is_reusable = m_is_write_done && m_parser->keep_alive();
     if (!is_reusable)
@@ -249,6 +271,7 @@
 {
     const bool was_open = m_state == state::open;
     m_state = state::closed;
+    count_reply_bytes(0);
     m_connect_timer.reset();
     boost::system::error_code ignored;
     m_socket.close(ignored);
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -13,6 +13,7 @@
 #include <boost/asio/basic_stream_socket.hpp>
 
 #include "http/asio.hpp"
+#include "http/byte_budget.hpp"
 #include "http/client_connection.hpp"
 #include "http/reply_parser.hpp"
 
@@ -66,6 +67,8 @@
         std::string id_field;
         std::uint64_t max_reply_bytes = 4U << 20U;
         std::chrono::milliseconds connect_timeout{500};
+        /// Shared with other connections; null for none.
+        std::shared_ptr<byte_budget> memory;
     };
 
     using result_handler = std::function<void(const upstream_result&)>;
@@ -114,6 +117,9 @@
     // Parses the bytes received so far. Returns whether the connection is still open.
     bool parse(bool is_end_of_stream);
     void on_reply();
+    // Counts the reply that is being read against the budget of all connections. Returns false when
+    // it must not be read on.
+    bool count_reply_bytes(std::size_t size);
     // Whether the parsed reply belongs to the request in flight.
     bool is_expected() const;
     void finish_exchange();
@@ -126,7 +132,12 @@
     socket_type m_socket;
     // Present until the connection is established.
     std::optional<timer_type> m_connect_timer;
+    // Bytes that have not been parsed: at most a part of a head.
     beast::flat_buffer m_buffer;
+    // Bytes of the current reply's body that count against the budget.
+    std::size_t m_counted_bytes = 0;
+    // Replies in series that nobody has asked for, interim ones included.
+    unsigned m_unexpected_replies = 0;
     std::optional<reply_parser> m_parser;
     state m_state = state::connecting;
     open_handler m_on_open;
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -296,6 +296,11 @@
         ++m_abandoned;
         co_return false;
     }
+    if (behaviour.has_endless_head || behaviour.has_endless_body)
+    {
+        co_await send_endless_reply(client_session, behaviour.has_endless_body);
+        co_return false;
+    }
     std::string text = make_reply_text(message, behaviour);
     if (behaviour.truncates)
         text.resize(text.size() - behaviour.body.size() / 2);
@@ -313,6 +318,22 @@
     co_return true;
 }
 
+http::awaitable<void> replica_standin::send_endless_reply(std::shared_ptr<session> client_session,
+                                                          bool has_endless_body)
+{
+    // Slower than a fast network, so that the stand-ins of a test keep time for other requests.
+    constexpr milliseconds pause{1};
+    const std::string noise(16U << 10U, 'x');
+    std::string text =
+        has_endless_body ? "HTTP/1.1 200 OK\r\n\r\n" : "HTTP/1.1 200 OK\r\nX-Noise: ";
+    while (co_await send(client_session, std::exchange(text, noise)))
+    {
+        boost::system::error_code ignored;
+        http::asio::steady_timer timer(m_context, pause);
+        co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+    }
+}
+
 http::awaitable<bool> replica_standin::send(std::shared_ptr<session> client_session,
                                             std::string text)
 {
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -46,6 +46,10 @@
     bool appends_garbage = false;
     /// Sends no Content-Length; closing the connection marks the end of the body.
     bool is_unframed = false;
+    /// Sends a head without end until the other side closes the connection.
+    bool has_endless_head = false;
+    /// Sends a body without end until the other side closes the connection.
+    bool has_endless_body = false;
     /// Closes the connection after each answer.
     bool closes = false;
     std::string body = "0123456789abcdef";
@@ -108,6 +112,8 @@
     http::awaitable<void> serve(std::shared_ptr<session> client_session);
     http::awaitable<bool> serve_one(std::shared_ptr<session> client_session);
     http::awaitable<bool> send(std::shared_ptr<session> client_session, std::string text);
+    http::awaitable<void> send_endless_reply(std::shared_ptr<session> client_session,
+                                             bool has_endless_body);
     replica_behaviour record_arrival(const session& client_session, const http::request& message);
     void record_work_end(const http::request& message);
     http::awaitable<bool> handle_request(std::shared_ptr<session> client_session,
--- a/tests/gateway/gateway_path_test.cpp
+++ b/tests/gateway/gateway_path_test.cpp
@@ -146,6 +146,30 @@
     }
 }
 
+// Guards against memory that grows with the endless replies of replicas, and against queries that
+// wait for their end.
+TEST_F(gateway_path_test, endless_replies_cost_bounded_memory_and_leave_answers_complete)
+{
+    for (int round = 0; round < 20; ++round)
+        send_request("/all/q");
+    for (std::size_t shard = 0; shard < 4; ++shard)
+        m_fleet.change_replica("shard" + std::to_string(shard) + "-0",
+                               [shard](auto& each)
+                               {
+                                   each.has_endless_head = shard % 2 == 0;
+                                   each.has_endless_body = shard % 2 == 1;
+                               });
+    for (int round = 0; round < 40; ++round)
+    {
+        const caller_answer answer = send_request("/all/q");
+        EXPECT_EQ(answer.status, 200U);
+        EXPECT_EQ(answer.missing_parts(), 0);
+    }
+    // The smallest VMs of the platform have 112 MB.
+    constexpr std::size_t max_bytes = 64U << 20U;
+    EXPECT_LT(m_fleet.peak_memory_bytes(0), max_bytes);
+}
+
 // Guards against a deadline sent to replicas that is later than the caller's.
 TEST_F(gateway_path_test, replicas_get_no_more_time_than_the_caller_has)
 {
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -350,6 +350,20 @@
         fmt::format("{}/{}.log", m_folder, item.name));
 }
 
+std::size_t platform_fleet::peak_memory_bytes(std::size_t vm)
+{
+    std::ifstream file(fmt::format("/proc/{}/status", m_vms.at(vm).process->id()));
+    constexpr std::size_t bytes_per_kilobyte = 1024;
+    for (std::string name; file >> name;)
+    {
+        std::size_t value = 0;
+        if (name == "VmHWM:" && file >> value)
+            return value * bytes_per_kilobyte;
+        std::getline(file, name);
+    }
+    return 0;
+}
+
 http::tcp::endpoint platform_fleet::endpoint_of(std::size_t vm, unsigned port) const
 {
     return http::make_endpoint(m_vms.at(vm).ip, static_cast<std::uint16_t>(port));
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -155,6 +155,8 @@
     {
         return endpoint_of(vm, caller_port);
     }
+    /// Highest resident memory of a VM's process so far.
+    std::size_t peak_memory_bytes(std::size_t vm);
     std::string log(std::size_t vm) { return m_vms.at(vm).process->output_text(); }
     /// Sum of the executions of a request over all replicas.
     unsigned executions(const std::string& request_id) const;
