Soak: Cut the links of VMs, let replicas name limits and send endless replies, send series of signals

Each VM has its own routes to the replicas through the fault proxy (which can refuse new connections only, and shows the replica who sent a request), so that VMs lose all replicas while callers, the store and the other VMs reach them. Replicas name limits and send endless heads and bodies; series of SIGHUP, SIGTERM and SIGKILL meet stops and starts. The new faults come from a stream of their own, so that the seeds that failed before keep their schedules. Checks: limits of all VMs together, callers of cut-off VMs, memory.

--- a/tests/chaos/chaos_system.cpp
+++ b/tests/chaos/chaos_system.cpp
@@ -157,6 +157,11 @@
         return set_replica(fault.target, R"({"draining":true})");
     case fault_kind::race_operators:
         return race_operators(fault.target, fault.variant);
+    case fault_kind::lose_replicas:
+    case fault_kind::limit_replica:
+    case fault_kind::endless_replies:
+    case fault_kind::signal_series:
+        return;
     }
 }
 
@@ -190,6 +195,10 @@
         check_drain(fault.target);
         return set_replica(fault.target, R"({"draining":false})");
     case fault_kind::race_operators:
+    case fault_kind::lose_replicas:
+    case fault_kind::limit_replica:
+    case fault_kind::endless_replies:
+    case fault_kind::signal_series:
         return;
     }
 }
--- a/tests/chaos/fault_schedule.cpp
+++ b/tests/chaos/fault_schedule.cpp
@@ -17,10 +17,11 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, 14> kind_names{
-    "kill_entry",  "kill_agent",      "freeze_entry",   "freeze_agent",       "cut_route",
-    "delay_route", "platform_outage", "slow_platform",  "lose_write_answers", "publish_index",
-    "repartition", "upstream_fault",  "drain_upstream", "race_operators"};
+constexpr std::array<std::string_view, 18> kind_names{
+    "kill_entry",    "kill_agent",      "freeze_entry",   "freeze_agent",       "cut_route",
+    "delay_route",   "platform_outage", "slow_platform",  "lose_write_answers", "publish_index",
+    "repartition",   "upstream_fault",  "drain_upstream", "race_operators",     "lose_replicas",
+    "limit_replica", "endless_replies", "signal_series"};
 // The kinds before drain_upstream and race_operators, which are scheduled separately.
 constexpr std::size_t random_kind_count = 12;
 constexpr milliseconds min_gap{150};
@@ -186,6 +187,38 @@
     return schedule_builder(seed, duration, options).build();
 }
 
+std::vector<scheduled_fault> make_fleet_schedule(std::uint64_t seed, milliseconds duration,
+                                                 const schedule_options& options)
+{
+    constexpr milliseconds min_long_length{6'000};
+    constexpr milliseconds max_long_length{9'500};
+    constexpr milliseconds max_pause{5'000};
+    constexpr std::array kinds{fault_kind::lose_replicas, fault_kind::limit_replica,
+                               fault_kind::endless_replies, fault_kind::signal_series};
+    // A stream of its own, so that make_schedule gives the same faults with and without this one.
+    base::seeded_random random(base::mix_bits(seed));
+    const auto random_between = [&random](milliseconds low, milliseconds high)
+    {
+        return low + milliseconds(static_cast<std::int64_t>(
+                         random.below(static_cast<std::uint64_t>((high - low).count()) + 1)));
+    };
+    std::vector<scheduled_fault> result;
+    for (const fault_kind kind : kinds)
+        for (milliseconds from = random_between(initial_delay, max_pause); from < duration;)
+        {
+            scheduled_fault fault;
+            fault.kind = kind;
+            fault.start = from;
+            fault.length =
+                std::min(random_between(min_long_length, max_long_length), duration - from);
+            fault.target = random.below(options.replicas);
+            fault.variant = random.below(1'000);
+            result.push_back(fault);
+            from = fault.end() + random_between(milliseconds{500}, max_pause);
+        }
+    return result;
+}
+
 std::string_view to_string(fault_kind kind)
 {
     return kind_names.at(static_cast<std::size_t>(kind));
--- a/tests/chaos/fault_schedule.hpp
+++ b/tests/chaos/fault_schedule.hpp
@@ -27,7 +27,12 @@
     repartition,
     upstream_fault,
     drain_upstream,
-    race_operators
+    race_operators,
+    /// Faults of `make_fleet_schedule` only.
+    lose_replicas, ///< VMs lose their links to all replicas.
+    limit_replica, ///< A replica names the requests a second that it takes from all VMs.
+    endless_replies,
+    signal_series ///< Several signals to one VM, some of which meet its stop or its start.
 };
 
 /// One fault; it is cleared at its end.
@@ -63,6 +68,13 @@
 std::vector<scheduled_fault> make_schedule(std::uint64_t seed, std::chrono::milliseconds duration,
                                            const schedule_options& options);
 
+/// Returns faults of the kinds that only the gateway has, for the same duration and in addition to
+/// `make_schedule`, whose seeds keep their meaning. Losses of links and limits last long enough for
+/// their bounds to apply.
+std::vector<scheduled_fault> make_fleet_schedule(std::uint64_t seed,
+                                                 std::chrono::milliseconds duration,
+                                                 const schedule_options& options);
+
 std::string_view to_string(fault_kind kind);
 /// One line for the log of a run.
 std::string to_text(const scheduled_fault& value);
--- a/tests/chaos/gateway_audit.cpp
+++ b/tests/chaos/gateway_audit.cpp
@@ -66,6 +66,11 @@
     return fmt::format("stop of vm {}", vm);
 }
 
+std::string links_component(std::size_t vm)
+{
+    return fmt::format("links of vm {}", vm);
+}
+
 bool gateway_audit::was_running(const caller_exchange& exchange) const
 {
     return m_disturbances.is_undisturbed(vm_component(exchange.vm),
@@ -254,7 +259,12 @@
         if (!exchange.has_disconnected || found == work_ends.end())
             continue;
         ++m_checks["callers that left"];
-        if (found->second > exchange.ended_at + disconnect_slack &&
+        // A replica hears nothing of the caller through links that are cut.
+        const bool has_links =
+            std::none_of(m_reach_losses.begin(), m_reach_losses.end(),
+                         [&](const reach_loss& loss)
+                         { return loss.from <= found->second && loss.to >= exchange.sent_at; });
+        if (found->second > exchange.ended_at + disconnect_slack && has_links &&
             is_undisturbed(exchange, found->second))
             record_violation("no work for callers that left", exchange,
                              fmt::format("a replica was at work {} ms later",
@@ -326,9 +336,19 @@
 }
 
 void gateway_audit::check_announcements(const std::string& replica,
-                                        const std::vector<standins::request_arrival>& arrivals)
+                                        const std::vector<standins::request_arrival>& all_arrivals,
+                                        const sender_finder& find_sender)
 {
     const std::scoped_lock lock(m_mutex);
+    // A request that another VM sent says nothing about what its caller's VM knows.
+    std::vector<standins::request_arrival> arrivals;
+    for (const auto& arrival : all_arrivals)
+    {
+        const caller_exchange* const exchange = find_exchange(arrival.request_id);
+        const auto sender = find_sender(arrival.sender);
+        if (!exchange || !sender || *sender == exchange->vm)
+            arrivals.push_back(arrival);
+    }
     for (const leaving_time& each : m_leaving_times)
         if (each.replica == replica)
             check_leaving(each, arrivals);
@@ -393,6 +413,133 @@
     }
 }
 
+void gateway_audit::begin_limit(const std::string& replica, double requests_per_second,
+                                time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_limited_times.push_back({replica, requests_per_second, now, time_point::max()});
+}
+
+void gateway_audit::end_limit(const std::string& replica, time_point now)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (limited_time& each : m_limited_times)
+        if (each.replica == replica && each.to == time_point::max())
+            each.to = now;
+}
+
+void gateway_audit::check_limits(const std::string& replica,
+                                 const std::vector<standins::request_arrival>& arrivals,
+                                 const sender_finder& find_sender)
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const limited_time& limited : m_limited_times)
+        if (limited.replica == replica)
+            check_limit(limited, arrivals, find_sender);
+}
+
+std::map<std::size_t, gateway_audit::time_point>
+gateway_audit::find_told_times(const limited_time& limited,
+                               const std::vector<standins::request_arrival>& arrivals,
+                               const sender_finder& find_sender) const
+{
+    std::map<std::size_t, time_point> result;
+    for (const auto& arrival : arrivals)
+    {
+        const caller_exchange* const exchange = find_exchange(arrival.request_id);
+        const auto sender = find_sender(arrival.sender);
+        if (!exchange || !sender || arrival.time < limited.from || exchange->answer.status != ok)
+            continue;
+        // A restarted VM has forgotten the limit, and a frozen one may have been told late.
+        if (!m_disturbances.is_undisturbed(vm_component(*sender), limited.from, limited.to) ||
+            !m_disturbances.is_undisturbed(stop_component(*sender), limited.from, limited.to))
+            continue;
+        const auto receipts = exchange->answer.receipts();
+        const bool is_passed_on = std::any_of(receipts.begin(), receipts.end(),
+                                              [&](const std::string& text)
+                                              {
+                                                  const auto from = parse_receipt(text);
+                                                  return from && from->replica == limited.replica;
+                                              });
+        if (!is_passed_on)
+            continue;
+        const auto told = result.try_emplace(*sender, exchange->ended_at).first;
+        told->second = std::min(told->second, exchange->ended_at);
+    }
+    return result;
+}
+
+void gateway_audit::check_limit(const limited_time& limited,
+                                const std::vector<standins::request_arrival>& arrivals,
+                                const sender_finder& find_sender)
+{
+    const auto told = find_told_times(limited, arrivals, find_sender);
+    std::vector<time_point> counted;
+    for (const auto& arrival : arrivals)
+    {
+        const auto sender = find_sender(arrival.sender);
+        const auto found = sender ? told.find(*sender) : told.end();
+        if (found != told.end() && arrival.time > found->second + limit_notice &&
+            arrival.time < limited.to)
+            counted.push_back(arrival.time);
+    }
+    std::sort(counted.begin(), counted.end());
+    if (!told.empty() && limited.to > limited.from + stable_window)
+        ++m_checks["limits"];
+    const double allowed = limit_factor * limited.requests_per_second *
+                               std::chrono::duration<double>(limit_window).count() +
+                           limit_slack;
+    std::size_t first = 0;
+    for (std::size_t last = 0; last < counted.size(); ++last)
+    {
+        while (counted[first] + limit_window <= counted[last])
+            ++first;
+        if (counted[last] > limited.from + stable_window &&
+            static_cast<double>(last - first + 1) > allowed)
+        {
+            m_violations["limits of replicas are kept"].push_back(
+                fmt::format("{} requests in {} ms at {}, limit {} a second", last - first + 1,
+                            limit_window.count(), limited.replica, limited.requests_per_second));
+            return;
+        }
+    }
+}
+
+void gateway_audit::add_reach_loss(reach_loss loss)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_reach_losses.push_back(std::move(loss));
+}
+
+void gateway_audit::check_reach_losses()
+{
+    const std::scoped_lock lock(m_mutex);
+    for (const reach_loss& loss : m_reach_losses)
+    {
+        service_count cut_off;
+        service_count others;
+        for (const caller_exchange& exchange : m_exchanges)
+        {
+            if (exchange.sent_at < loss.from + stable_window || exchange.ended_at > loss.to ||
+                exchange.has_disconnected || !is_undisturbed(exchange, exchange.ended_at))
+                continue;
+            service_count& count = loss.vms.contains(exchange.vm) ? cut_off : others;
+            ++count.requests;
+            count.served += exchange.answer.status == ok ? 1 : 0;
+        }
+        if (cut_off.requests == 0 || others.requests == 0)
+            continue;
+        ++m_checks["losses of all replicas"];
+        const std::size_t failed = cut_off.requests - cut_off.served;
+        const std::size_t all = cut_off.requests + others.requests;
+        if (cut_off.share() < min_reach_share * others.share() &&
+            failed > reach_slack + all / reach_slack_divisor)
+            m_violations["callers of VMs without replicas are served"].push_back(
+                fmt::format("{} of {} served, of the others {} of {}", cut_off.served,
+                            cut_off.requests, others.served, others.requests));
+    }
+}
+
 std::vector<std::string> gateway_audit::violations(const std::string& invariant) const
 {
     const std::scoped_lock lock(m_mutex);
--- a/tests/chaos/gateway_audit.hpp
+++ b/tests/chaos/gateway_audit.hpp
@@ -5,9 +5,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,16 @@
 std::string vm_component(std::size_t vm);
 /// For planned stops, during which requests are still answered.
 std::string stop_component(std::size_t vm);
+/// For the links between a VM and the replicas.
+std::string links_component(std::size_t vm);
+
+/// A time in which VMs had lost all replicas.
+struct reach_loss
+{
+    std::set<std::size_t> vms;
+    disturbance_log::time_point from;
+    disturbance_log::time_point to;
+};
 
 enum class request_kind
 {
@@ -52,6 +64,8 @@
 {
 public:
     using time_point = disturbance_log::time_point;
+    /// Returns the VM whose requests come from an address; empty when that is not known.
+    using sender_finder = std::function<std::optional<std::size_t>(const std::string&)>;
 
     /// Bounds from the settings that the fleet writes.
     static constexpr std::chrono::milliseconds apply_bound{3'000};
@@ -67,6 +81,16 @@
     static constexpr std::chrono::milliseconds closed_time{900};
     static constexpr std::chrono::milliseconds closing_time{500};
     static constexpr std::size_t max_arrivals_while_closed = 2;
+    /// Windows in which a limit is checked, and what a replica bears in one of them.
+    static constexpr std::chrono::milliseconds limit_window{4'000};
+    static constexpr std::chrono::milliseconds limit_notice{500};
+    static constexpr double limit_factor = 1.5;
+    static constexpr double limit_slack = 5;
+    /// VMs without replicas are served badly when they serve less than this share of what the
+    /// others do, and more requests than this fail.
+    static constexpr double min_reach_share = 2.0 / 3;
+    static constexpr std::size_t reach_slack = 10;
+    static constexpr std::size_t reach_slack_divisor = 50;
 
     explicit gateway_audit(disturbance_log& disturbances) : m_disturbances(disturbances) {}
 
@@ -92,7 +116,23 @@
     /// an answer of the leaving replica sent it no further requests, and none while the replica
     /// wanted none.
     void check_announcements(const std::string& replica,
-                             const std::vector<standins::request_arrival>& arrivals);
+                             const std::vector<standins::request_arrival>& arrivals,
+                             const sender_finder& find_sender);
+
+    /// The replica names its limit in all its answers from `begin_limit` to `end_limit`.
+    void begin_limit(const std::string& replica, double requests_per_second, time_point now);
+    void end_limit(const std::string& replica, time_point now);
+    /// Called after the run with the requests that arrived at a replica: checks that the VMs which
+    /// had passed on one of its answers together kept to its limit. `find_sender` returns the VM
+    /// with an address.
+    void check_limits(const std::string& replica,
+                      const std::vector<standins::request_arrival>& arrivals,
+                      const sender_finder& find_sender);
+
+    void add_reach_loss(reach_loss loss);
+    /// Called after the run: checks that callers of VMs without replicas were served nearly as well
+    /// as those of the others.
+    void check_reach_losses();
 
     std::vector<std::string> violations(const std::string& invariant) const;
     std::string summary() const;
@@ -122,10 +162,34 @@
         time_point to;
     };
     using vm_process = std::pair<std::size_t, unsigned>;
+    struct limited_time
+    {
+        std::string replica;
+        double requests_per_second = 0;
+        time_point from;
+        time_point to;
+    };
+    struct service_count
+    {
+        std::size_t requests = 0;
+        std::size_t served = 0;
+        double share() const
+        {
+            return requests == 0 ? 1 : static_cast<double>(served) / static_cast<double>(requests);
+        }
+    };
 
     // The caller of these functions has locked m_mutex.
     void check_leaving(const leaving_time& leaving,
                        const std::vector<standins::request_arrival>& arrivals);
+    void check_limit(const limited_time& limited,
+                     const std::vector<standins::request_arrival>& arrivals,
+                     const sender_finder& find_sender);
+    // When each VM had passed on an answer in which the replica names its limit.
+    std::map<std::size_t, time_point>
+    find_told_times(const limited_time& limited,
+                    const std::vector<standins::request_arrival>& arrivals,
+                    const sender_finder& find_sender) const;
     void check_closing(const std::string& replica,
                        const std::vector<standins::request_arrival>& arrivals);
     const caller_exchange* find_exchange(const std::string& id) const;
@@ -150,6 +214,8 @@
         m_observed_generations;
     std::map<std::string, std::vector<std::string>> m_violations;
     std::vector<leaving_time> m_leaving_times;
+    std::vector<limited_time> m_limited_times;
+    std::vector<reach_loss> m_reach_losses;
     // Indexes into m_exchanges by request id.
     std::map<std::string, std::size_t> m_exchange_of;
     std::map<unsigned, std::size_t> m_statuses;
--- a/tests/chaos/gateway_callers.cpp
+++ b/tests/chaos/gateway_callers.cpp
@@ -51,7 +51,7 @@
 } // namespace
 
 gateway_callers::gateway_callers(gateway_audit& audit, gateway_system& system, std::uint64_t seed)
-    : m_audit(audit), m_system(system), m_seed(seed)
+    : m_audit(audit), m_system(system), m_seed(seed), m_failed_checks(system.vm_count())
 {
     for (std::uint64_t number = 0; number < thread_count; ++number)
         m_threads.emplace_back([this, number] { run_requests(number); });
@@ -104,7 +104,7 @@
 {
     base::seeded_random random(m_seed * thread_count + thread_number);
     std::vector<std::unique_ptr<testing_support::persistent_connection>> connections;
-    for (std::size_t vm = 0; vm < gateway_system::vm_count; ++vm)
+    for (std::size_t vm = 0; vm < m_system.vm_count(); ++vm)
         connections.push_back(std::make_unique<testing_support::persistent_connection>(
             m_system.fleet().caller_address(vm)));
     for (std::size_t number = 0; !m_is_stopped.load(); ++number)
--- a/tests/chaos/gateway_callers.hpp
+++ b/tests/chaos/gateway_callers.hpp
@@ -3,7 +3,6 @@
 #ifndef OSPREYSTAIR_TESTS_CHAOS_GATEWAY_CALLERS_HPP
 #define OSPREYSTAIR_TESTS_CHAOS_GATEWAY_CALLERS_HPP
 
-#include <array>
 #include <atomic>
 #include <thread>
 #include <vector>
@@ -36,7 +35,7 @@
     gateway_audit& m_audit;
     gateway_system& m_system;
     const std::uint64_t m_seed;
-    std::array<std::atomic<int>, gateway_system::vm_count> m_failed_checks{};
+    std::vector<std::atomic<int>> m_failed_checks;
     std::atomic<bool> m_is_stopped{false};
     std::vector<std::thread> m_threads;
 };
--- a/tests/chaos/gateway_run.cpp
+++ b/tests/chaos/gateway_run.cpp
@@ -32,29 +32,38 @@
                                       "refused requests have not run",
                                       "only callers' requests run",
                                       "no work for callers that left",
-                                      "repeats stay within their budget"};
+                                      "repeats stay within their budget",
+                                      "limits of replicas are kept",
+                                      "callers of VMs without replicas are served",
+                                      "memory stays bounded"};
 
 std::string service_of(const std::string& replica)
 {
     return replica.substr(0, replica.rfind('-'));
 }
 
-void check_replicas(gateway_audit& audit, testing_support::platform_fleet& fleet)
+void check_replicas(gateway_audit& audit, gateway_system& system)
 {
+    const auto find_sender = [&system](const std::string& address)
+    {
+        return system.find_sender(address);
+    };
     std::map<std::string, unsigned> executions;
     std::map<std::string, std::vector<disturbance_log::time_point>> arrivals;
     std::map<std::string, disturbance_log::time_point> work_ends;
-    for (const auto& [id, target] : fleet.replicas())
+    for (const auto& [id, target] : system.fleet().replicas())
     {
         for (const auto& [request, count] : target->executions())
             executions[request] += count;
         for (const auto& [request, ended_at] : target->work_ends())
             work_ends[request] = std::max(work_ends[request], ended_at);
-        audit.check_announcements(id, target->request_arrivals());
+        audit.check_announcements(id, target->request_arrivals(), find_sender);
+        audit.check_limits(id, target->request_arrivals(), find_sender);
         const auto times = target->arrival_times();
         auto& service_arrivals = arrivals[service_of(id)];
         service_arrivals.insert(service_arrivals.end(), times.begin(), times.end());
     }
+    audit.check_reach_losses();
     audit.check_executions(executions);
     audit.check_disconnects(work_ends);
     for (const auto& [service, times] : arrivals)
@@ -65,15 +74,18 @@
 {
     disturbance_log disturbances;
     gateway_audit audit(disturbances);
-    gateway_system system(audit, disturbances);
-    const auto schedule =
-        make_schedule(settings.seed, settings.duration, system.make_schedule_options());
+    gateway_system system(audit, disturbances,
+                          settings.vms == 0 ? gateway_system::default_vm_count : settings.vms);
+    auto schedule = make_schedule(settings.seed, settings.duration, system.make_schedule_options());
+    const auto fleet_faults =
+        make_fleet_schedule(settings.seed, settings.duration, system.make_schedule_options());
+    schedule.insert(schedule.end(), fleet_faults.begin(), fleet_faults.end());
     print_schedule(settings, schedule);
     gateway_callers callers(audit, system, settings.seed);
     run_schedule(system, schedule, settings.duration);
     system.clear_all();
     callers.stop();
-    check_replicas(audit, system.fleet());
+    check_replicas(audit, system);
     const bool is_recovered = system.wait_until_recovered();
 
     fmt::print("{}\n", audit.summary());
--- a/tests/chaos/gateway_system.cpp
+++ b/tests/chaos/gateway_system.cpp
@@ -4,10 +4,12 @@
 
 #include <algorithm>
 #include <array>
+#include <csignal>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "base/random.hpp"
 #include "tests/integration/test_client.hpp"
 
 namespace ospreystair::chaos
@@ -45,17 +47,19 @@
 
 } // namespace
 
-testing_support::fleet_options gateway_system::make_options()
+testing_support::fleet_options gateway_system::make_options(std::size_t vm_count)
 {
     testing_support::fleet_options options;
     options.vms = vm_count;
+    options.has_routes = vm_count <= max_vms_with_routes;
     options.shards = shard_count;
     options.replicas = replica_count;
     return options;
 }
 
-gateway_system::gateway_system(gateway_audit& audit, disturbance_log& disturbances)
-    : m_audit(audit), m_disturbances(disturbances), m_fleet(make_options())
+gateway_system::gateway_system(gateway_audit& audit, disturbance_log& disturbances,
+                               std::size_t vm_count)
+    : m_audit(audit), m_disturbances(disturbances), m_fleet(make_options(vm_count)), m_vms(vm_count)
 {
     std::vector<std::string> shards;
     for (const Json::Value& shard : m_fleet.configuration()["routes"][0]["gather"])
@@ -102,6 +106,19 @@
     case fault_kind::race_operators:
         publish_route();
         return publish_route();
+    case fault_kind::lose_replicas:
+        return lose_replicas(fault);
+    case fault_kind::limit_replica:
+        return limit_replica(choose_replica(fault), fault.variant);
+    case fault_kind::endless_replies:
+        return m_fleet.change_replica(choose_replica(fault),
+                                      [&fault](replica_behaviour& behaviour)
+                                      {
+                                          behaviour.has_endless_head = fault.variant % 2 == 0;
+                                          behaviour.has_endless_body = fault.variant % 2 == 1;
+                                      });
+    case fault_kind::signal_series:
+        return send_signal_series(fault);
     }
 }
 
@@ -130,8 +147,22 @@
         return publish_index();
     case fault_kind::drain_upstream:
         return check_drain(find_target(fault));
+    case fault_kind::lose_replicas:
+        return regain_replicas(fault);
+    case fault_kind::limit_replica:
+        return end_limit(find_target(fault));
+    case fault_kind::endless_replies:
+        for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
+            check_memory(vm);
+        return m_fleet.change_replica(find_target(fault),
+                                      [](replica_behaviour& behaviour)
+                                      {
+                                          behaviour.has_endless_head = false;
+                                          behaviour.has_endless_body = false;
+                                      });
     case fault_kind::publish_index:
     case fault_kind::race_operators:
+    case fault_kind::signal_series:
         return;
     }
 }
@@ -189,6 +220,121 @@
     item.is_disturbed.store(false);
 }
 
+std::optional<std::size_t> gateway_system::find_sender(const std::string& address) const
+{
+    for (std::size_t vm = 0; vm < m_vms.size() && m_vms.size() <= max_vms_with_routes; ++vm)
+        if (m_fleet.route_ip(vm) == address)
+            return vm;
+    return std::nullopt;
+}
+
+// Settings that are read again, stops and kills follow each other so closely that some meet a
+// process that stops or starts.
+void gateway_system::send_signal_series(const scheduled_fault& fault)
+{
+    const std::size_t vm = fault.target % m_vms.size();
+    vm_state& item = m_vms.at(vm);
+    if (item.is_disturbed.exchange(true))
+        return;
+    m_disturbances.begin(vm_component(vm), steady_clock::now());
+    if (item.restarter.joinable())
+        item.restarter.join();
+    item.restarter = std::thread(
+        [this, vm, variant = fault.variant]
+        {
+            constexpr std::uint64_t max_gap_ms = 400;
+            constexpr int rounds = 3;
+            base::seeded_random random(variant);
+            for (int round = 0; round < rounds; ++round)
+            {
+                testing_support::child_process& process = *m_fleet.vm(vm).process;
+                process.send_signal(SIGHUP);
+                process.send_signal(random.below(2) == 0 ? SIGTERM : SIGHUP);
+                std::this_thread::sleep_for(
+                    milliseconds{static_cast<std::int64_t>(random.below(max_gap_ms))});
+                process.send_signal(random.below(2) == 0 ? SIGTERM : SIGKILL);
+                if (!process.wait(stop_timeout))
+                    m_audit.add_violation("processes end when they are told to",
+                                          fmt::format("vm {} in a series of signals", vm));
+                m_vms.at(vm).incarnation.fetch_add(1);
+                m_fleet.start(vm);
+                std::this_thread::sleep_for(
+                    milliseconds{static_cast<std::int64_t>(random.below(max_gap_ms))});
+            }
+            m_disturbances.end(vm_component(vm), steady_clock::now());
+            m_vms.at(vm).is_disturbed.store(false);
+        });
+}
+
+// One VM loses its links, or all but one.
+std::vector<std::size_t> gateway_system::cut_targets(const scheduled_fault& fault) const
+{
+    const std::size_t spared = fault.target % m_vms.size();
+    if (fault.variant % 2 == 0)
+        return {spared};
+    std::vector<std::size_t> result;
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
+        if (vm != spared)
+            result.push_back(vm);
+    return result;
+}
+
+void gateway_system::lose_replicas(const scheduled_fault& fault)
+{
+    if (m_vms.size() > max_vms_with_routes)
+        return;
+    constexpr std::array modes{"cut", "freeze", "refuse_new"};
+    for (const std::size_t vm : cut_targets(fault))
+    {
+        m_disturbances.begin(links_component(vm), steady_clock::now());
+        m_cut_vms[vm] = steady_clock::now();
+        m_fleet.set_routes(vm, modes.at(fault.variant / 2 % modes.size()));
+    }
+}
+
+void gateway_system::regain_replicas(const scheduled_fault& fault)
+{
+    if (m_vms.size() > max_vms_with_routes)
+        return;
+    const auto now = steady_clock::now();
+    const std::vector<std::size_t> targets = cut_targets(fault);
+    m_audit.add_reach_loss({{targets.begin(), targets.end()}, m_cut_vms[targets.front()], now});
+    for (const std::size_t vm : targets)
+    {
+        m_fleet.set_routes(vm, "pass");
+        m_disturbances.end(links_component(vm), steady_clock::now());
+        m_cut_vms.erase(vm);
+    }
+}
+
+void gateway_system::limit_replica(const std::string& id, std::uint64_t variant)
+{
+    constexpr std::uint64_t max_rate = 10;
+    const auto rate = static_cast<double>(1 + variant % max_rate);
+    m_fleet.change_replica(id, [rate](replica_behaviour& behaviour)
+                           { behaviour.request_limit = fmt::format("{:.1f}", rate); });
+    m_audit.begin_limit(id, rate, steady_clock::now());
+}
+
+void gateway_system::end_limit(const std::string& id)
+{
+    m_audit.end_limit(id, steady_clock::now());
+    m_fleet.change_replica(id,
+                           [](replica_behaviour& behaviour) { behaviour.request_limit.clear(); });
+}
+
+void gateway_system::check_memory(std::size_t vm)
+{
+    // The smallest VMs of the platform have 112 MB.
+    constexpr std::size_t max_bytes = 64U << 20U;
+    if (m_vms.at(vm).is_disturbed.load())
+        return;
+    m_audit.count_check("memory");
+    const std::size_t bytes = m_fleet.peak_memory_bytes(vm);
+    if (bytes > max_bytes)
+        m_audit.add_violation("memory stays bounded", fmt::format("{} bytes at vm {}", bytes, vm));
+}
+
 void gateway_system::restart(std::size_t vm)
 {
     m_vms.at(vm).incarnation.fetch_add(1);
@@ -271,11 +417,13 @@
                            [&was_leaving](replica_behaviour& behaviour)
                            {
                                was_leaving = behaviour.is_leaving;
-                               // Missing and slow answers are faults of other kinds, which may be
-                               // active.
+                               // The others are faults of other kinds, which may be active.
                                replica_behaviour repaired = without_faults(behaviour);
                                repaired.never_answers = behaviour.never_answers;
                                repaired.latency = behaviour.latency;
+                               repaired.request_limit = behaviour.request_limit;
+                               repaired.has_endless_head = behaviour.has_endless_head;
+                               repaired.has_endless_body = behaviour.has_endless_body;
                                behaviour = repaired;
                            });
     if (!was_leaving)
@@ -300,7 +448,7 @@
     const bool is_undisturbed = m_disturbances.is_undisturbed(
         store_component, m_drained_at - gateway_audit::stable_window, now);
     bool are_vms_undisturbed = true;
-    for (std::size_t vm = 0; vm < vm_count; ++vm)
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
         are_vms_undisturbed =
             are_vms_undisturbed &&
             m_disturbances.is_undisturbed(vm_component(vm),
@@ -354,7 +502,7 @@
 
 void gateway_system::clear_all()
 {
-    for (std::size_t vm = 0; vm < vm_count; ++vm)
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
     {
         vm_state& item = m_vms.at(vm);
         if (item.restarter.joinable())
@@ -366,6 +514,8 @@
         else
             restart(vm);
     }
+    for (const auto& [vm, ignored] : m_cut_vms)
+        m_fleet.set_routes(vm, "pass");
     m_fleet.store().set_mode(store_mode::serving);
     m_fleet.store().set_delay(milliseconds{0});
     m_fleet.store().set_losing_answers(false);
@@ -387,7 +537,7 @@
         const auto answer = m_fleet.send(vm, std::move(message));
         return answer.status == ok && answer.receipts().size() == shard_count;
     };
-    for (std::size_t vm = 0; vm < vm_count; ++vm)
+    for (std::size_t vm = 0; vm < m_vms.size(); ++vm)
         if (!testing_support::wait_until(
                 recovery_timeout,
                 [&] { return m_fleet.readiness(vm) == ok && is_answer_complete(vm); }))
--- a/tests/chaos/gateway_system.hpp
+++ b/tests/chaos/gateway_system.hpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <map>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -28,19 +29,25 @@
 class gateway_system
 {
 public:
-    static constexpr std::size_t vm_count = 3;
+    static constexpr std::size_t default_vm_count = 3;
+    /// VMs of larger fleets read the store through each other and have no routes of their own to
+    /// the replicas, so that links are not cut there.
+    static constexpr std::size_t max_vms_with_routes = 24;
 
-    gateway_system(gateway_audit& audit, disturbance_log& disturbances);
+    gateway_system(gateway_audit& audit, disturbance_log& disturbances, std::size_t vm_count);
     ~gateway_system();
     gateway_system(const gateway_system&) = delete;
     gateway_system& operator=(const gateway_system&) = delete;
 
     testing_support::platform_fleet& fleet() { return m_fleet; }
+    std::size_t vm_count() const { return m_vms.size(); }
+    /// The VM whose requests reach the replicas from this address; empty when that is not known.
+    std::optional<std::size_t> find_sender(const std::string& address) const;
     /// Counts the starts of a VM's process.
     unsigned incarnation(std::size_t vm) const { return m_vms.at(vm).incarnation.load(); }
     schedule_options make_schedule_options() const
     {
-        return {vm_count, replica_total, pause_factor};
+        return {m_vms.size(), replica_total, pause_factor};
     }
 
     void apply(const scheduled_fault& fault);
@@ -66,7 +73,7 @@
         std::atomic<bool> is_disturbed{false};
     };
 
-    static testing_support::fleet_options make_options();
+    static testing_support::fleet_options make_options(std::size_t vm_count);
     void clear_replica_fault(const std::string& id);
     const std::string& choose_replica(const scheduled_fault& fault);
     const std::string& find_target(const scheduled_fault& fault) const
@@ -74,6 +81,13 @@
         return m_fault_targets.at({fault.kind, fault.target});
     }
     void disturb_vm(const scheduled_fault& fault);
+    void send_signal_series(const scheduled_fault& fault);
+    std::vector<std::size_t> cut_targets(const scheduled_fault& fault) const;
+    void lose_replicas(const scheduled_fault& fault);
+    void regain_replicas(const scheduled_fault& fault);
+    void limit_replica(const std::string& id, std::uint64_t variant);
+    void end_limit(const std::string& id);
+    void check_memory(std::size_t vm);
     void restore_vm(const scheduled_fault& fault);
     void restart(std::size_t vm);
     void change_store(const scheduled_fault& fault);
@@ -92,7 +106,9 @@
     std::vector<std::string> m_replicas;
     // The replica that each fault was applied to, by kind and target.
     std::map<std::pair<fault_kind, std::size_t>, std::string> m_fault_targets;
-    std::vector<vm_state> m_vms{vm_count};
+    std::vector<vm_state> m_vms;
+    // VMs without links to replicas, and since when.
+    std::map<std::size_t, disturbance_log::time_point> m_cut_vms;
     std::size_t m_generation = 0;
     std::size_t m_route = 0;
     disturbance_log::time_point m_drained_at{};
--- a/tests/chaos/run_support.cpp
+++ b/tests/chaos/run_support.cpp
@@ -24,7 +24,8 @@
     const std::vector<settings::option> options{
         {"seed", "Seed of the schedule", "1"},
         {"minutes", "Length of the run in minutes", "0"},
-        {"seconds", "Length of the run in seconds, added to the minutes", "0"}};
+        {"seconds", "Length of the run in seconds, added to the minutes", "0"},
+        {"vms", "Number of VMs, for programs that support it; 0 for the default", "0"}};
     const auto table =
         settings::option_table::create(program, description, options, argc, argv, reason);
     if (!table)
@@ -32,13 +33,14 @@
     const auto seed = table->number("seed", 0, UINT64_MAX, reason);
     const auto minutes = table->number("minutes", 0, 600, reason);
     const auto seconds = table->number("seconds", 0, 36'000, reason);
-    if (!seed || !minutes || !seconds)
+    const auto vms = table->number("vms", 0, 300, reason);
+    if (!seed || !minutes || !seconds || !vms)
         return std::nullopt;
     std::chrono::milliseconds duration = std::chrono::minutes(static_cast<std::int64_t>(*minutes)) +
                                          std::chrono::seconds(static_cast<std::int64_t>(*seconds));
     if (duration.count() == 0)
         duration = std::chrono::minutes{1};
-    return run_settings{*seed, duration};
+    return run_settings{*seed, duration, static_cast<std::size_t>(*vms)};
 }
 
 } // namespace
--- a/tests/chaos/run_support.hpp
+++ b/tests/chaos/run_support.hpp
@@ -21,6 +21,8 @@
 {
     std::uint64_t seed = 0;
     std::chrono::milliseconds duration{0};
+    /// Number of VMs; 0 for the program's default.
+    std::size_t vms = 0;
 };
 
 /// The main function of a chaos program: reads --seed, --minutes and --seconds, and returns 0 when
