Entry: Report not ready while no upstream answers

An entry without links to the upstreams stayed ready, so that callers were sent to it, although VMs elsewhere could serve them. Change: /ready answers 503 while every replica that may get work is ejected and none is due for a probe, so that some callers come back for each probe. Result: coverage_test.vm_that_reaches_no_upstream_... fails without the change (always 200) and passes with it. Entries do not hand requests to each other: members tell each other their agents' addresses only.

--- a/programs/entry/entry_policy.hpp
+++ b/programs/entry/entry_policy.hpp
@@ -72,6 +72,9 @@
         return m_tracker.snapshot(replica_name);
     }
 
+    /// Whether this VM reaches none of the upstreams.
+    bool is_cut_off() const { return m_tracker.are_all_ejected(); }
+
     /// Returns the decisions for one query; empty when the service takes commands, which must be
     /// neither retried nor hedged.
     std::optional<query_decisions> make_decisions(const configuration::service& service,
--- a/programs/entry/operator_service.cpp
+++ b/programs/entry/operator_service.cpp
@@ -95,6 +95,9 @@
     if (!m_context.views.current())
         return http::make_text_response(http::status::service_unavailable,
                                         "no configuration yet; start ospreystair-agent\n");
+    if (m_context.policy.is_cut_off())
+        return http::make_text_response(http::status::service_unavailable,
+                                        "no upstream answers; check this VM's network\n");
     return http::make_text_response(http::status::ok, "ready\n");
 }
 
--- a/source/routing/replica_tracker.hpp
+++ b/source/routing/replica_tracker.hpp
@@ -201,6 +201,24 @@
                      });
     }
 
+    /// Whether every replica that may get work is ejected and none is due for a probe: this VM has
+    /// probably lost its links to the upstreams. Ends with the first ejection that does.
+    bool are_all_ejected() const
+    {
+        const base::time_point now = m_clock.now();
+        std::size_t ejected_count = 0;
+        for (const auto& [name, replica] : m_replicas.copy_all())
+        {
+            if (!replica.is_configured || replica.is_draining_in_view ||
+                replica.has_reported_draining)
+                continue;
+            if (!replica.is_ejected || is_probe_due(replica, now))
+                return false;
+            ++ejected_count;
+        }
+        return ejected_count > 0;
+    }
+
     replica_snapshot snapshot(const std::string& name)
     {
         return update_state(name, [this](const replica_state& replica)
--- a/tests/integration/coverage_test.cpp
+++ b/tests/integration/coverage_test.cpp
@@ -162,6 +162,36 @@
     EXPECT_TRUE(wait_until_complete("single"));
 }
 
+// Guards against a VM without links to the upstreams that goes on attracting callers.
+TEST_F(coverage_test, vm_that_reaches_no_upstream_is_not_ready_until_one_answers)
+{
+    std::vector<std::string> routes;
+    for (const std::string service : {"portal", "single"})
+        for (int shard = 0; shard < 4; ++shard)
+            for (int replica = 0; replica < (service == "portal" ? 2 : 1); ++replica)
+                routes.push_back(route(service, shard, replica));
+    set_mode(routes, "cut");
+    const auto readiness = [this]
+    {
+        return send_request(m_cluster.vm(0).operator_port, get("/ready")).status;
+    };
+    EXPECT_TRUE(wait_until(recovery_limit,
+                           [&]
+                           {
+                               m_cluster.query(0, "portal", "{}");
+                               m_cluster.query(0, "single", "{}");
+                               return readiness() == 503;
+                           }));
+    set_mode(routes, "pass");
+    EXPECT_TRUE(wait_until(2 * recovery_limit,
+                           [&]
+                           {
+                               return readiness() == 200 &&
+                                      m_cluster.query(0, "portal", "{}").header("X-Coverage") ==
+                                          "4/4";
+                           }));
+}
+
 // Guards against an error in an empty reply with a success status that is counted as coverage.
 TEST_F(coverage_test, empty_success_with_error_member_is_reported_as_failed)
 {
--- a/tests/unit/routing_replica_test.cpp
+++ b/tests/unit/routing_replica_test.cpp
@@ -96,6 +96,18 @@
     EXPECT_EQ(choose({"r1"}), "r0");
 }
 
+// Guards against a VM without links to the upstreams that goes on attracting callers, and against
+// one that never gets the request that shows that they are back.
+TEST_F(replica_test, all_replicas_are_ejected_until_the_first_is_due_for_a_probe)
+{
+    fail_requests("r0");
+    EXPECT_FALSE(m_tracker.are_all_ejected());
+    fail_requests("r1");
+    EXPECT_TRUE(m_tracker.are_all_ejected());
+    m_clock.advance(1s);
+    EXPECT_FALSE(m_tracker.are_all_ejected());
+}
+
 // Guards against a replica in need that gets far more requests than the limit that it names, and
 // against a limit that outlasts the need.
 TEST_F(replica_test, replica_that_names_a_limit_gets_its_rate_until_it_names_none)
