--- a/tests/chaos/gateway_audit.hpp
+++ b/tests/chaos/gateway_audit.hpp
@@ -31,6 +31,8 @@
 struct reach_loss
 {
     std::set<std::size_t> vms;
+    /// Number of all VMs.
+    std::size_t vm_count = 0;
     disturbance_log::time_point from;
     disturbance_log::time_point to;
 };
@@ -182,6 +184,7 @@
     // The caller of these functions has locked m_mutex.
     void check_leaving(const leaving_time& leaving,
                        const std::vector<standins::request_arrival>& arrivals);
+    bool has_connected_vm(const reach_loss& loss, const caller_exchange& exchange) const;
     void check_limit(const limited_time& limited,
                      const std::vector<standins::request_arrival>& arrivals,
                      const sender_finder& find_sender);
