--- a/source/forwarding/peer_selector.hpp
+++ b/source/forwarding/peer_selector.hpp
@@ -39,8 +39,9 @@
     /// another one nearly always.
     static constexpr std::size_t peers_per_round = 16;
     static constexpr std::chrono::milliseconds round_interval{250};
-    /// Interval after rounds that found no VM.
-    static constexpr std::chrono::milliseconds max_round_interval{2'000};
+    /// Interval after rounds that found no VM. Short, since a VM may be unable to serve only until
+    /// it has read the newest configuration.
+    static constexpr std::chrono::milliseconds max_round_interval{500};
     /// How long a report is relied on.
     static constexpr std::chrono::milliseconds report_lifetime{1'500};
     /// A VM that was cut off at the same time may have had its last contact this much later.
