Forwarding: Take a VM for cut off only if requests sent after the last reply fail

Cause: a VM with one query a second whose parts were answered but for some at slow replicas took itself for cut off after 400 ms without another reply, and offered a request of a route with one attempt to other VMs, where it ran again. Change: a replica counts as failing only if it was asked, or connected to, after the last reply of any replica, and an eighth of all replicas must fail; requests of routes with one attempt are not offered once they are sent.

--- a/source/forwarding/reach_monitor.cpp
+++ b/source/forwarding/reach_monitor.cpp
@@ -21,13 +21,14 @@
             continue;
         ++ready_count;
         is_waiting = is_waiting || known->outstanding() > 0;
-        if (known->is_down(now) || known->last_failure() > m_last_reply)
+        if (known->is_silent_since(m_last_reply, now) || known->last_failure() >= m_last_reply)
             ++failing_count;
         else if (known->last_contact() > m_last_reply)
             ++connected_count;
     }
-    if (failing_count > 0 && failing_count >= std::min(min_failing_replicas, ready_count) &&
-        failing_count > connected_count)
+    const std::size_t required_count =
+        std::max(std::min(min_failing_replicas, ready_count), ready_count / min_failing_divisor);
+    if (failing_count > 0 && failing_count >= required_count && failing_count > connected_count)
     {
         m_cut_off_since = now;
         // Without a request that waits in vain, the next one shows whether the replicas answer.
--- a/source/forwarding/reach_monitor.hpp
+++ b/source/forwarding/reach_monitor.hpp
@@ -13,6 +13,9 @@
 /// Guards against this failure: a VM loses its links to all replicas while callers still reach it.
 /// Its requests hang on silent connections or fail one by one, although other VMs could serve them.
 ///
+/// Replicas count as failing only if they were asked, or connected to, after the last reply of any
+/// replica: slow ones stay silent while others answer requests of the same time.
+///
 /// Only a reply shows that the VM reaches replicas: something on the way may accept connections in
 /// their place.
 class reach_monitor
@@ -21,8 +24,9 @@
     /// All replicas together are silent for this long only when the VM is cut off: they pause at
     /// different times.
     static constexpr std::chrono::milliseconds silence_threshold = replica::max_pause;
-    /// Fewer replicas may fail at the same time by coincidence.
+    /// Fewer replicas may fail at the same time by coincidence: this number, and this part of all.
     static constexpr std::size_t min_failing_replicas = 3;
+    static constexpr std::size_t min_failing_divisor = 8;
     /// A cut-off VM tries a replica after this time even if no connection has been opened.
     static constexpr std::chrono::milliseconds trial_interval{2'000};
 
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -147,7 +147,7 @@
 void replica::record_connection_loss(base::time_point sent_at, base::time_point now)
 {
     remove_outstanding(sent_at);
-    m_last_failure = now;
+    m_last_failure = std::max(m_last_failure, sent_at);
     m_failure_rate.record(true, now);
 }
 
@@ -158,7 +158,7 @@
     // The replica has replied since, so only this request was slow.
     if (m_last_contact > sent_at)
         return;
-    m_last_failure = now;
+    m_last_failure = std::max(m_last_failure, sent_at);
     back_off(now, initial_silence_backoff);
     // With many VMs, each sends a request to a given replica only every few seconds, which is after
     // the end of the backoff: the latency ratio keeps the replica avoided for longer.
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -125,8 +125,14 @@
     base::time_point reconnect_at() const { return m_reconnect_at; }
 
     std::size_t outstanding() const { return m_outstanding.size(); }
-    /// Time of the last attempt or connection that failed without a reply.
+    /// When the last attempt without a reply was sent, or the last connection failed.
     base::time_point last_failure() const { return m_last_failure; }
+    /// Whether an attempt sent at `since` or later has been waiting for longer than `max_pause`.
+    bool is_silent_since(base::time_point since, base::time_point now) const
+    {
+        return !m_outstanding.empty() && m_outstanding.back() >= since &&
+               now - m_outstanding.back() > max_pause;
+    }
     /// Time of the last reply or new connection.
     base::time_point last_contact() const { return m_last_contact; }
 
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -210,7 +210,8 @@
         m_end_timer = m_dispatcher.timers().schedule(m_deadline_budget.end(), on_timer);
         if (m_route.is_gather())
             m_answer_timer = m_dispatcher.timers().schedule(m_answer_at, on_timer);
-        if (m_route.is_idempotent)
+        // Another VM may ask one more replica.
+        if (m_route.is_idempotent && m_route.max_attempts > 1)
             schedule_reach_check();
     }
 
--- a/tests/unit/forwarding_reach_test.cpp
+++ b/tests/unit/forwarding_reach_test.cpp
@@ -68,6 +68,21 @@
     EXPECT_FALSE(is_cut_off_after(2ms));
 }
 
+// Replays slow replicas of a few shards at a VM with few requests: most parts are answered, the
+// others are silent for long, and no other request comes. Guards against requests that are offered
+// to other VMs, and so run more often than their route allows, although the replicas are only slow.
+TEST_F(reach_monitor_test, slow_replicas_beside_answering_ones_do_not_cut_a_vm_off)
+{
+    send_to_all();
+    m_now += 20ms;
+    m_monitor.record_reply(m_now);
+    EXPECT_FALSE(is_cut_off_after(1s));
+    // Their attempts are given up, which is no news about the time after the reply.
+    for (const char* id : {"a1", "a2", "b1"})
+        known(id).record_abandoned(m_now - 1020ms, m_now, {});
+    EXPECT_FALSE(is_cut_off_after(1s));
+}
+
 // Guards against connections that are reset or refused at once, without any silence.
 TEST_F(reach_monitor_test, vm_whose_connections_all_fail_is_cut_off)
 {
