Routing: Hedge stragglers that are more frequent than the percentile allows

What callers saw: with five stragglers in a hundred sub-requests or more, no sub-request was hedged at all for as long as the stragglers lasted.

Cause: the first hedge is sent at the learnt 95th percentile of the latency. Once more than 5% of the samples are stragglers, the percentile is a straggler's own latency, and the hedge would come when the straggler answers. The samples of hedged stragglers are cut short, so that the state is stable either way: an estimate made before the first stragglers have answered leads to hedges, one made after them to none.

Change: the delay of the first hedge is at most five times the median. The budget of 5% bounds the extra load as before, and the second hedge still goes by the percentile.

--- a/source/routing/hedge_policy.hpp
+++ b/source/routing/hedge_policy.hpp
@@ -102,14 +102,20 @@
     /// get a token would then be random. The delay therefore grows as the budget empties, so that
     /// the remaining tokens go to the slowest sub-requests. At most 1.3 times the percentile gives
     /// a lower 99th percentile in bench/routing_policy than at most 1 or 2 times.
-    base::duration first_hedge_delay(base::duration percentile) const
+    ///
+    /// If more than 5% of the sub-requests are stragglers, the percentile is the latency of a
+    /// straggler, and a hedge after it comes too late. A multiple of the median bounds the delay.
+    base::duration first_hedge_delay(base::duration percentile)
     {
+        const base::duration median = m_latency_estimator.median().value_or(percentile);
+        const base::duration delay = std::min(percentile, median * max_delay_in_medians);
         const double scarcity = 1 - std::min(1.0, m_budget.fill_ratio() * 2);
-        return percentile +
-               std::chrono::duration_cast<base::duration>(percentile * scarcity * max_extra_delay);
+        return delay +
+               std::chrono::duration_cast<base::duration>(delay * scarcity * max_extra_delay);
     }
 
-    /// Extra delay with an empty budget, as a share of the percentile.
+    static constexpr int max_delay_in_medians = 5;
+    /// Extra delay with an empty budget, as a share of the delay.
     static constexpr double max_extra_delay = 0.3;
 
     static bool refuse(base::error& reason, base::error_kind kind, const char* message)
--- a/source/routing/latency_estimator.hpp
+++ b/source/routing/latency_estimator.hpp
@@ -58,16 +58,15 @@
     /// Returns the estimated quantile; empty until there are enough samples.
     std::optional<base::duration> estimate()
     {
-        const auto now = m_clock.now().time_since_epoch().count();
-        auto refresh_at = m_refresh_at.load(std::memory_order_relaxed);
-        if (now >= refresh_at &&
-            m_refresh_at.compare_exchange_strong(
-                refresh_at, now + m_settings.refresh_interval.count(), std::memory_order_relaxed))
-            m_estimate.store(compute_quantile().count(), std::memory_order_relaxed);
-        const base::duration value{m_estimate.load(std::memory_order_relaxed)};
-        if (value.count() == 0)
-            return std::nullopt;
-        return value;
+        refresh();
+        return load(m_estimate);
+    }
+
+    /// Returns the estimated median; empty until there are enough samples.
+    std::optional<base::duration> median()
+    {
+        refresh();
+        return load(m_median);
     }
 
 private:
@@ -113,7 +112,25 @@
         target.decayed_at = now;
     }
 
-    base::duration compute_quantile()
+    static std::optional<base::duration> load(const std::atomic<base::duration::rep>& source)
+    {
+        const base::duration value{source.load(std::memory_order_relaxed)};
+        if (value.count() == 0)
+            return std::nullopt;
+        return value;
+    }
+
+    void refresh()
+    {
+        const auto now = m_clock.now().time_since_epoch().count();
+        auto refresh_at = m_refresh_at.load(std::memory_order_relaxed);
+        if (now >= refresh_at &&
+            m_refresh_at.compare_exchange_strong(
+                refresh_at, now + m_settings.refresh_interval.count(), std::memory_order_relaxed))
+            compute_quantiles();
+    }
+
+    void compute_quantiles()
     {
         histogram_type sum{make_axis()};
         for (stripe& each : m_stripes)
@@ -125,15 +142,24 @@
         double total = 0;
         for (const double weight : sum)
             total += weight;
-        if (total < m_settings.min_samples)
-            return base::duration{0};
+        const bool has_enough_samples = total >= m_settings.min_samples;
+        const auto find = [&](double quantile)
+        {
+            return has_enough_samples ? find_quantile(sum, total * quantile) : base::duration{0};
+        };
+        m_estimate.store(find(m_settings.quantile).count(), std::memory_order_relaxed);
+        m_median.store(find(0.5).count(), std::memory_order_relaxed);
+    }
+
+    // Returns the latency that `rank` samples do not exceed.
+    static base::duration find_quantile(const histogram_type& sum, double rank)
+    {
         return std::chrono::duration_cast<base::duration>(
-            std::chrono::duration<double, std::milli>(find_quantile(sum, total)));
+            std::chrono::duration<double, std::milli>(find_quantile_ms(sum, rank)));
     }
 
-    double find_quantile(const histogram_type& sum, double total) const
+    static double find_quantile_ms(const histogram_type& sum, double rank)
     {
-        const double rank = total * m_settings.quantile;
         double weight_below = sum.at(-1);
         for (int index = 0; index < static_cast<int>(bucket_count); ++index)
         {
@@ -154,6 +180,7 @@
     std::atomic<base::duration::rep> m_refresh_at;
     // Zero while there is no estimate.
     std::atomic<base::duration::rep> m_estimate{0};
+    std::atomic<base::duration::rep> m_median{0};
     std::array<stripe, stripe_count> m_stripes;
 };
 
--- a/tests/integration/reply_matching_test.cpp
+++ b/tests/integration/reply_matching_test.cpp
@@ -54,6 +54,21 @@
     EXPECT_GT(hedges, 0);
 }
 
+// Guards against hedges that stop because stragglers are so frequent that the learnt percentile is
+// their latency. With twelve in a hundred it is from the first estimate on.
+TEST_F(reply_matching_test, frequent_stragglers_are_hedged)
+{
+    set_upstreams(R"("slots":16,"queue":64,"straggler_probability":0.12,"straggler_factor":20)");
+    query_stream stream(m_cluster, m_audit,
+                        {.service = "portal", .callers = 12, .queries_each = 40});
+    stream.join();
+    print_answers();
+    EXPECT_EQ(m_audit.counts().complete, 12 * 40) << m_audit.summary();
+    EXPECT_GT(m_cluster.entry_metric(0, "ospreystair_hedges_total") +
+                  m_cluster.entry_metric(1, "ospreystair_hedges_total"),
+              0);
+}
+
 // Guards against a late answer on a reused connection that is taken for the next request's answer.
 TEST_F(reply_matching_test, answers_after_deadline_never_reach_later_requests)
 {
--- a/tests/unit/routing_policy_test.cpp
+++ b/tests/unit/routing_policy_test.cpp
@@ -175,6 +175,18 @@
     EXPECT_FALSE(policy.next_delay(make_request(), make_context(100ms))) << "no time for an answer";
 }
 
+// Guards against a service without any hedges when more than 5% of its sub-requests are stragglers:
+// the 95th percentile is then the latency of a straggler.
+TEST_F(policy_test, frequent_stragglers_are_hedged_before_they_answer)
+{
+    hedge_policy<clock> policy(m_clock, 5);
+    for (int sample = 0; sample < 100; ++sample)
+        policy.record_latency(sample < 8 ? 50ms : 2500us);
+    m_clock.advance(50ms);
+    record_requests(policy);
+    EXPECT_LT(*policy.next_delay(make_request(), make_context()), 25ms);
+}
+
 // Guards against hedges under overload, without another usable replica, without time or without
 // budget.
 TEST_F(policy_test, hedge_is_refused_with_a_reason)
