--- a/standins/users_platform/store_standin.cpp
+++ b/standins/users_platform/store_standin.cpp
@@ -56,15 +56,18 @@
 store_standin::serve_edited(std::function<void(std::string&)> edit, base::error& reason)
 {
     const auto edited = std::make_shared<const std::function<void(std::string&)>>(std::move(edit));
+    const std::size_t index = m_edited_servers.size();
     http::server_options options;
     options.address = {m_server->address().address(), 0};
     auto created = http::server::create(
         m_context, std::move(options),
-        [this, edited](const http::request& message, std::shared_ptr<http::exchange_context> peer)
-            -> http::awaitable<http::response>
+        [this, edited,
+         index](const http::request& message,
+                std::shared_ptr<http::exchange_context> peer) -> http::awaitable<http::response>
         {
             http::response reply = co_await answer(message, std::move(peer));
             (*edited)(reply.body());
+            co_await wait(delay_at(m_edited_servers[index]->address()));
             co_return reply;
         },
         reason);
@@ -74,6 +77,19 @@
     return m_edited_servers.back()->address();
 }
 
+void store_standin::delay_answers_at(const http::tcp::endpoint& address, milliseconds delay)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_delays_by_address[address] = delay;
+}
+
+milliseconds store_standin::delay_at(const http::tcp::endpoint& address) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_delays_by_address.find(address);
+    return found == m_delays_by_address.end() ? milliseconds{0} : found->second;
+}
+
 std::uint64_t store_standin::put(const std::string& kind, const std::string& name,
                                  Json::Value content)
 {
--- a/standins/users_platform/store_standin.hpp
+++ b/standins/users_platform/store_standin.hpp
@@ -50,6 +50,8 @@
     /// show each VM other addresses of the replicas.
     std::optional<http::tcp::endpoint> serve_edited(std::function<void(std::string&)> edit,
                                                     base::error& reason);
+    /// Delays the answers at an address of `serve_edited`, beside the delay of all answers.
+    void delay_answers_at(const http::tcp::endpoint& address, std::chrono::milliseconds delay);
 
     /// Writes without a condition, as the platform itself does. Returns the revision.
     std::uint64_t put(const std::string& kind, const std::string& name, Json::Value content);
@@ -98,6 +100,7 @@
     http::awaitable<http::response> answer_call(const http::request& message,
                                                 std::shared_ptr<http::exchange_context> peer);
     http::awaitable<void> wait(std::chrono::milliseconds time);
+    std::chrono::milliseconds delay_at(const http::tcp::endpoint& address) const;
     http::awaitable<http::response> answer_watch(std::string kind, std::uint64_t revision,
                                                  std::chrono::milliseconds wait_time,
                                                  std::shared_ptr<http::exchange_context> peer);
@@ -124,6 +127,7 @@
     std::uint64_t m_era = 1;
     store_mode m_mode = store_mode::serving;
     std::chrono::milliseconds m_delay{0};
+    std::map<http::tcp::endpoint, std::chrono::milliseconds> m_delays_by_address;
     bool m_is_losing_answers = false;
     std::uint64_t m_calls = 0;
     // Number of calls of cut_connections.
--- a/tests/gateway/gateway_handover_test.cpp
+++ b/tests/gateway/gateway_handover_test.cpp
@@ -68,6 +68,18 @@
     EXPECT_EQ(count_incomplete(1), 0U);
 }
 
+// Guards against callers of a VM without replicas that are refused as long as the other VMs have
+// not read a new configuration yet.
+TEST_P(gateway_handover_test, callers_are_served_while_the_other_vms_read_a_configuration)
+{
+    cut(0);
+    EXPECT_EQ(count_incomplete(0), 0U);
+    for (const std::size_t vm : {1U, 2U, 3U})
+        m_fleet.delay_store(vm, 700ms);
+    m_fleet.publish();
+    EXPECT_EQ(count_incomplete(0), 0U);
+}
+
 // Guards against requests that are handed to a VM which is cut off too.
 TEST_P(gateway_handover_test, one_connected_vm_serves_the_callers_of_all_others)
 {
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -142,6 +142,11 @@
 
     /// Changes all routes of a VM to replicas: "pass", "cut", "freeze" or "refuse_new".
     void set_routes(std::size_t vm, const std::string& mode);
+    /// Delays what a VM reads from the store. Needs `has_routes`.
+    void delay_store(std::size_t vm, std::chrono::milliseconds delay)
+    {
+        m_store->delay_answers_at(m_store_addresses.at(vm), delay);
+    }
     /// The address from which a VM's requests reach the replicas.
     std::string route_ip(std::size_t vm) const;
 
