--- a/source/http/target.hpp
+++ b/source/http/target.hpp
@@ -3,11 +3,12 @@
 #ifndef OSPREYSTAIR_HTTP_TARGET_HPP
 #define OSPREYSTAIR_HTTP_TARGET_HPP
 
-#include <charconv>
 #include <cstdint>
 #include <optional>
 #include <string_view>
 
+#include "base/number.hpp"
+
 namespace ospreystair::http
 {
 
@@ -40,13 +41,7 @@
 inline std::optional<std::uint64_t> find_number(std::string_view target, std::string_view name)
 {
     const auto text = find_parameter(target, name);
-    std::uint64_t value = 0;
-    if (!text || text->empty())
-        return std::nullopt;
-    const auto parsed = std::from_chars(text->data(), text->data() + text->size(), value);
-    if (parsed.ec != std::errc{} || parsed.ptr != text->data() + text->size())
-        return std::nullopt;
-    return value;
+    return text ? base::parse_number<std::uint64_t>(*text) : std::nullopt;
 }
 
 } // namespace ospreystair::http
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -3,8 +3,6 @@
 #include "query/upstream_client.hpp"
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <memory>
 #include <optional>
 #include <set>
@@ -13,6 +11,7 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "base/number.hpp"
 #include "http/string_views.hpp"
 
 namespace ospreystair::query
@@ -102,13 +101,7 @@
 
 std::optional<double> find_request_limit(const http::response& reply)
 {
-    const std::string_view text = header(reply, "X-Request-Limit");
-    double value = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size() ||
-        !std::isfinite(value) || value < 0)
-        return std::nullopt;
-    return value;
+    return base::parse_amount(header(reply, "X-Request-Limit"));
 }
 
 upstream_client::upstream_client(asio::io_context& context, observe::metrics& metrics)
--- a/standins/upstream/replica.cpp
+++ b/standins/upstream/replica.cpp
@@ -3,7 +3,6 @@
 #include "standins/upstream/replica.hpp"
 
 #include <array>
-#include <charconv>
 #include <sstream>
 #include <utility>
 #include <vector>
@@ -11,6 +10,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "base/number.hpp"
 #include "http/client_connection.hpp"
 #include "http/server.hpp"
 #include "rpc/rpc_server.hpp"
@@ -27,15 +27,6 @@
 // Echoed request bodies are truncated to this length, so that answers stay small.
 constexpr std::size_t max_echo_bytes = 256;
 
-std::optional<std::uint64_t> read_number(std::string_view text)
-{
-    std::uint64_t result = 0;
-    const auto parsed = std::from_chars(text.data(), text.data() + text.size(), result);
-    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != text.data() + text.size())
-        return std::nullopt;
-    return result;
-}
-
 std::string header(const http::request& message, const char* name)
 {
     const auto value = message[name];
@@ -297,7 +288,7 @@
                                                "the header Idempotency-Key is required\n")};
     if (kind == request_kind::search)
     {
-        const auto version = read_number(header(message, "X-Index-Version"));
+        const auto version = base::parse_number<std::uint64_t>(header(message, "X-Index-Version"));
         if (!version)
             return answer{http::make_text_response(http::status::bad_request,
                                                    "the header X-Index-Version is required\n")};
@@ -333,7 +324,8 @@
     }
     ++m_counts.queued;
     m_waiting_exchanges.emplace(current_exchange->id, current_exchange);
-    const auto deadline_ms = read_number(header(current_exchange->message, "X-Deadline-Ms"));
+    const auto deadline_ms =
+        base::parse_number<std::uint64_t>(header(current_exchange->message, "X-Deadline-Ms"));
     const bool ends_on_disconnect = !m_behaviour.ignores_cancellation;
     const base::time_point until =
         deadline_ms ? steady_clock::now() + std::chrono::milliseconds{*deadline_ms}
@@ -483,7 +475,8 @@
 {
     const std::string request_id = header(message, "X-Request-Id");
     const std::string shard = header(message, "X-Shard");
-    std::uint64_t version = read_number(header(message, "X-Index-Version")).value_or(0);
+    std::uint64_t version =
+        base::parse_number<std::uint64_t>(header(message, "X-Index-Version")).value_or(0);
     if (matching_fault && matching_fault->kind == fault_kind::wrong_version)
         version = matching_fault->version;
     if (kind == request_kind::command)
