Forwarding: Count the parts that can be served in one place

The dispatcher, which tells other VMs whether it can serve a route, and a request, which refuses at once what cannot be served, each counted the services with a live replica and the parts that are needed. Both now use dispatcher::find_servable and route::min_parts, which is never above the number of shards. The three ways in which a request ends from outside share one function.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -149,14 +149,11 @@
     /// Whether this VM could serve a request on the route now.
     bool can_serve(const route& rule) const
     {
-        if (!rule.is_gather())
-            return std::any_of(rule.services.begin(), rule.services.end(),
-                               [this](const weighted_service& each)
-                               { return has_live_replica(each.service); });
-        const auto servable = static_cast<std::size_t>(
-            std::count_if(rule.shards.begin(), rule.shards.end(),
-                          [this](const std::string& shard) { return has_live_replica(shard); }));
-        return servable >= std::min(rule.shards.size(), rule.min_parts());
+        if (rule.is_gather())
+            return find_servable(rule.shards).count >= rule.min_parts();
+        return std::any_of(rule.services.begin(), rule.services.end(),
+                           [this](const weighted_service& each)
+                           { return has_live_replica(each.service); });
     }
 
     timer_queue& timers() { return m_timers; }
@@ -214,6 +211,24 @@
         return result;
     }
 
+    struct servable_services
+    {
+        std::size_t count = 0;
+        /// The first one that has no replica for a request now; empty if all have.
+        std::string first_missing;
+    };
+
+    servable_services find_servable(const std::vector<std::string>& services) const
+    {
+        servable_services result;
+        for (const std::string& service : services)
+            if (has_live_replica(service))
+                ++result.count;
+            else if (result.first_missing.empty())
+                result.first_missing = service;
+        return result;
+    }
+
     /// Whether some replica of the service takes requests now.
     bool has_live_replica(const std::string& service) const
     {
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -73,7 +73,7 @@
         for (const std::string& service : services)
             m_parts.emplace_back(service);
         m_open_parts = m_parts.size();
-        if (refuse_if_unservable())
+        if (refuse_if_unservable(services))
             return;
         schedule_timers();
         for (std::size_t index = 0; index < m_parts.size() && !m_is_finished; ++index)
@@ -116,38 +116,11 @@
         finish_if_decided();
     }
 
-    void on_caller_gone()
-    {
-        if (m_is_finished)
-            return;
-        answer result;
-        result.kind = answer_kind::abandoned;
-        result.reason = "the caller closed its connection";
-        finish(std::move(result));
-    }
-
+    void on_caller_gone() { end(answer_kind::abandoned, "the caller closed its connection"); }
     /// Ends the request because another VM has answered it.
-    void on_answered_elsewhere()
-    {
-        if (m_is_finished)
-            return;
-        answer result;
-        result.kind = answer_kind::abandoned;
-        result.reason = "another VM has answered";
-        finish(std::move(result));
-    }
-
+    void on_answered_elsewhere() { end(answer_kind::abandoned, "another VM has answered"); }
     /// Ends the request, which may have run, because another VM can serve it better.
-    void on_out_of_reach()
-    {
-        if (m_is_finished)
-            return;
-        answer result;
-        result.kind = answer_kind::failed;
-        result.is_out_of_reach = true;
-        result.reason = "this VM has lost all replicas";
-        finish(std::move(result));
-    }
+    void on_out_of_reach() { end(answer_kind::failed, "this VM has lost all replicas", true); }
 
     /// `action` is called at most once, when this VM has lost all replicas while the request waits
     /// for them and another VM may run it too.
@@ -160,6 +133,17 @@
     int priority() const { return m_route.priority; }
 
 private:
+    void end(answer_kind kind, std::string reason, bool is_out_of_reach = false)
+    {
+        if (m_is_finished)
+            return;
+        answer result;
+        result.kind = kind;
+        result.reason = std::move(reason);
+        result.is_out_of_reach = is_out_of_reach;
+        finish(std::move(result));
+    }
+
     base::time_point compute_answer_time() const
     {
         const base::time_point now = m_dispatcher.now();
@@ -172,32 +156,25 @@
                         std::max(objective_end, now + m_baseline.overdue_after));
     }
 
-    bool refuse_if_unservable()
+    bool refuse_if_unservable(const std::vector<std::string>& services)
     {
-        std::size_t servable = 0;
-        std::string missing;
-        for (const query_part& item : m_parts)
-            if (m_dispatcher.has_live_replica(item.service))
-                ++servable;
-            else if (missing.empty())
-                missing = item.service;
+        const auto servable = m_dispatcher.find_servable(services);
         if (m_deadline_budget.remaining(m_dispatcher.now()) > base::duration{0} &&
-            servable >= required_parts())
+            servable.count >= required_parts())
             return false;
+        const std::string& missing = servable.first_missing;
         if (!missing.empty())
             m_dispatcher.record_unservable();
         finish_refused(missing.empty()
                            ? std::string("the caller's deadline leaves no time")
                            : fmt::format("{} of {} services have a live replica, {} are needed; "
                                          "\"{}\" has none",
-                                         servable, m_parts.size(), required_parts(), missing));
+                                         servable.count, m_parts.size(), required_parts(),
+                                         missing));
         return true;
     }
 
-    std::size_t required_parts() const
-    {
-        return m_route.is_gather() ? std::min(m_parts.size(), m_route.min_parts()) : 1;
-    }
+    std::size_t required_parts() const { return m_route.min_parts(); }
 
     void schedule_timers()
     {
--- a/source/forwarding/route_table.cpp
+++ b/source/forwarding/route_table.cpp
@@ -61,8 +61,8 @@
     // Without the tolerance, a share such as 0.95 of 20 could be rounded up to 20 of 20.
     constexpr double rounding_tolerance = 1e-9;
     const double share = min_coverage * static_cast<double>(shards.size());
-    return std::max<std::size_t>(1,
-                                 static_cast<std::size_t>(std::ceil(share - rounding_tolerance)));
+    return std::clamp<std::size_t>(static_cast<std::size_t>(std::ceil(share - rounding_tolerance)),
+                                   1, std::max<std::size_t>(1, shards.size()));
 }
 
 std::string normalize_host(std::string_view host)
--- a/source/forwarding/route_table.hpp
+++ b/source/forwarding/route_table.hpp
@@ -53,7 +53,7 @@
     double min_coverage = 1;
 
     bool is_gather() const { return !shards.empty(); }
-    /// Minimum number of shards that an answer must cover; at least 1.
+    /// Minimum number of parts that an answer must cover: of the shards, or 1 without any.
     std::size_t min_parts() const;
 };
 
