--- a/programs/entry/entry_policy.cpp
+++ b/programs/entry/entry_policy.cpp
@@ -80,7 +80,7 @@
     for (const configuration::member& item : view.members)
         if (item.is_live())
             live_vms.push_back(item.vm);
-    m_tracker.set_fleet_position(routing::find_fleet_position(m_vm, live_vms));
+    m_tracker.set_fleet_position(routing::find_fleet_position(m_vm, live_vms, base::unix_epoch()));
     m_share.update(std::move(live_vms));
     m_tracker.update(view.configuration, view.draining);
 }
--- a/source/base/clock.hpp
+++ b/source/base/clock.hpp
@@ -28,6 +28,14 @@
     time_point now() const { return std::chrono::steady_clock::now(); }
 };
 
+/// Returns the start of the Unix epoch on the monotonic clock, as far as this machine's time of day
+/// is right: an instant that is about the same on all machines.
+inline time_point unix_epoch()
+{
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::steady_clock::now() - std::chrono::duration_cast<duration>(since_epoch);
+}
+
 /// A clock that stays at the monotonic time of the last sample(). An event loop takes one sample
 /// for each event, so that all decisions about the event use the same time.
 class sampled_clock
--- a/source/routing/rate_share.cpp
+++ b/source/routing/rate_share.cpp
@@ -1,4 +1,4 @@
-// A VM's place in the fleet, by the list of VMs and the time of day.
+// A VM's place in the fleet, by the list of VMs.
 
 #include "routing/rate_share.hpp"
 
@@ -9,7 +9,8 @@
 namespace ospreystair::routing
 {
 
-fleet_position find_fleet_position(const std::string& own_vm, std::vector<std::string> vms)
+fleet_position find_fleet_position(const std::string& own_vm, std::vector<std::string> vms,
+                                   base::time_point epoch)
 {
     std::sort(vms.begin(), vms.end());
     fleet_position result;
@@ -18,9 +19,7 @@
     const bool is_listed = found != vms.end() && *found == own_vm;
     result.rank = is_listed ? static_cast<std::size_t>(found - vms.begin())
                             : base::stable_hash(own_vm) % result.vm_count;
-    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
-    result.epoch =
-        std::chrono::steady_clock::now() - std::chrono::duration_cast<base::duration>(since_epoch);
+    result.epoch = epoch;
     return result;
 }
 
--- a/source/routing/rate_share.hpp
+++ b/source/routing/rate_share.hpp
@@ -27,8 +27,9 @@
 };
 
 /// Returns the place of `own_vm` among `vms`. A VM that is not listed yet takes its turn at any
-/// time.
-fleet_position find_fleet_position(const std::string& own_vm, std::vector<std::string> vms);
+/// time. `epoch` is the field of the result.
+fleet_position find_fleet_position(const std::string& own_vm, std::vector<std::string> vms,
+                                   base::time_point epoch);
 
 /// Guards against this failure: an upstream in need names the rate that it can take, every VM hears
 /// it, and together they go on sending several times as much.
--- a/tests/unit/routing_rate_test.cpp
+++ b/tests/unit/routing_rate_test.cpp
@@ -118,10 +118,10 @@
 // Guards against two VMs that take the same turn.
 TEST(fleet_position_test, vms_with_the_same_list_have_different_ranks)
 {
-    EXPECT_EQ(find_fleet_position("b", {"c", "b", "a"}).rank, 1U);
-    EXPECT_EQ(find_fleet_position("c", {"c", "b", "a"}).rank, 2U);
-    EXPECT_EQ(find_fleet_position("c", {"c", "b", "a"}).vm_count, 3U);
-    EXPECT_EQ(find_fleet_position("new", {}).vm_count, 1U);
+    EXPECT_EQ(find_fleet_position("b", {"c", "b", "a"}, {}).rank, 1U);
+    EXPECT_EQ(find_fleet_position("c", {"c", "b", "a"}, {}).rank, 2U);
+    EXPECT_EQ(find_fleet_position("c", {"c", "b", "a"}, {}).vm_count, 3U);
+    EXPECT_EQ(find_fleet_position("new", {}, {}).vm_count, 1U);
 }
 
 TEST_F(fleet_rate_test, refused_request_is_told_when_the_next_may_be_sent)
