Platform: Count the delay of a removed replica from its removal

Cause: a replica whose entry is removed stays a last resort for 60% of the drain time, counted from when a VM hears of the removal. Two VMs heard of it 2.2 and 2.9 s late: the VMs that they read through were waiting for a store that did not answer, and their own answers went on without changes.

--- a/source/forwarding/replica_directory.cpp
+++ b/source/forwarding/replica_directory.cpp
@@ -17,7 +17,7 @@
 }
 
 void replica_directory::apply_listing(const std::vector<registration>& listing,
-                                      base::time_point now)
+                                      base::time_point now, base::duration age)
 {
     const bool is_restored = std::exchange(m_is_restored, false);
     std::set<std::string> listed;
@@ -34,7 +34,7 @@
         if (!listed.contains(id))
             missing.push_back(id);
     for (const std::string& id : missing)
-        apply_removal(id, now);
+        apply_removal(id, now, age);
     m_has_listing = true;
 }
 
@@ -72,7 +72,8 @@
     m_on_added(added);
 }
 
-void replica_directory::apply_removal(const std::string& id, base::time_point now)
+void replica_directory::apply_removal(const std::string& id, base::time_point now,
+                                      base::duration age)
 {
     m_reappearances.erase(id);
     const auto found = m_replicas.find(id);
@@ -80,8 +81,10 @@
         return;
     found->second->set_unconfirmed(true);
     // After an outage the entry may have been missing for any time already.
-    m_removal_times.try_emplace(id, now < m_reregistration_end ? m_reregistration_end
-                                                               : now + m_removal_delay);
+    const base::duration delay =
+        std::max<base::duration>(m_removal_delay - age, m_removal_delay / min_delay_divisor);
+    m_removal_times.try_emplace(id,
+                                now < m_reregistration_end ? m_reregistration_end : now + delay);
 }
 
 void replica_directory::record_outage()
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -32,9 +32,13 @@
     /// that left during the outage must not get requests for long.
     static constexpr std::chrono::milliseconds reregistration_time{2'000};
 
+    /// A replica whose removal is heard of late is still used for the removal delay divided by
+    /// this, since its entry may be back in a moment.
+    static constexpr int min_delay_divisor = 3;
+
     /// `on_added` and `on_removed` are called for each incarnation that is added or removed. A
-    /// replica whose entry is removed is kept as unconfirmed for `removal_delay`, during which it
-    /// is still used.
+    /// replica whose entry is removed is kept as unconfirmed until `removal_delay` after the
+    /// removal; it is still used then.
     replica_directory(std::chrono::milliseconds removal_delay, replica_callback on_added,
                       replica_callback on_removed);
 
@@ -44,10 +48,13 @@
         m_removal_delay = removal_delay;
     }
 
-    /// Applies the registry's complete list.
-    void apply_listing(const std::vector<registration>& listing, base::time_point now);
+    /// Applies the registry's complete list. `age` is an upper bound of the time since entries that
+    /// are missing in it were removed.
+    void apply_listing(const std::vector<registration>& listing, base::time_point now,
+                       base::duration age = {});
     void apply_entry(const registration& entry, base::time_point now);
-    void apply_removal(const std::string& id, base::time_point now);
+    /// `age` is an upper bound of the time since the removal.
+    void apply_removal(const std::string& id, base::time_point now, base::duration age = {});
 
     /// Records that the registry is unreachable; the known entries are kept.
     void record_outage();
--- a/tests/gateway/gateway_reads_test.cpp
+++ b/tests/gateway/gateway_reads_test.cpp
@@ -22,29 +22,31 @@
 using namespace std::chrono_literals;
 using platform::object_mirror;
 using platform::read_source;
+using platform::store_changes;
+using platform::store_listing;
 using platform::store_object;
-using platform::store_position;
 
 /// Records what a follower reports and keeps a mirror, as the gateway does.
 struct recording_sink
 {
     explicit recording_sink(http::asio::io_context& context) : mirror(context) {}
 
-    void on_listing(const std::vector<store_object>& objects, const store_position& position)
+    void on_listing(const store_listing& listing)
     {
         names.clear();
-        for (const store_object& item : objects)
+        for (const store_object& item : listing.objects)
             names.insert(item.name);
-        mirror.apply_listing(objects, position);
+        mirror.apply_listing(listing.objects, listing.position);
     }
-    void on_changes(const std::vector<store_object>& objects, const store_position& position)
+    void on_changes(const store_changes& changes)
     {
-        for (const store_object& item : objects)
+        for (const store_object& item : changes.objects)
             if (item.is_deleted)
                 names.erase(item.name);
             else
                 names.insert(item.name);
-        mirror.apply_changes(objects, position);
+        last_age = *changes.age;
+        mirror.apply_changes(changes.objects, changes.position, last_age);
     }
     void on_outage(const base::error&) { ++outages; }
     void on_recovery() { ++recoveries; }
@@ -58,6 +60,7 @@
 
     object_mirror mirror;
     std::set<std::string> names;
+    std::chrono::milliseconds last_age{0};
     std::atomic<int> outages{0};
     std::atomic<int> recoveries{0};
     std::atomic<bool> is_from_store{false};
@@ -94,7 +97,9 @@
 
     void start(const http::tcp::endpoint& store_of_second)
     {
-        m_direct_follower.emplace(m_context, std::vector<read_source>{{m_store->address(), false}},
+        base::error reason;
+        m_store_of_first = m_store->serve_edited([](std::string&) {}, reason).value();
+        m_direct_follower.emplace(m_context, std::vector<read_source>{{m_store_of_first, false}},
                                   "servers", m_batch_delay, m_direct_sink);
         m_relay_follower.emplace(
             m_context,
@@ -114,11 +119,30 @@
         return result.get_future().get();
     }
 
+    // Age of the last changes as the second VM reports them.
+    std::chrono::milliseconds last_age()
+    {
+        std::promise<std::chrono::milliseconds> result;
+        http::asio::post(m_context, [&] { result.set_value(m_relay_sink.last_age); });
+        return result.get_future().get();
+    }
+
+    // Removes an object; returns the time until the second VM knows.
+    std::chrono::milliseconds remove(const std::string& name)
+    {
+        const auto start = std::chrono::steady_clock::now();
+        m_store->remove("servers", name);
+        EXPECT_TRUE(wait_until(5s, [&] { return !second_vm_knows(name); }));
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - start);
+    }
+
     std::chrono::milliseconds m_batch_delay{20};
     http::asio::io_context m_context;
     http::asio::executor_work_guard<http::asio::io_context::executor_type> m_work_guard{
         m_context.get_executor()};
     std::unique_ptr<standins::store_standin> m_store;
+    http::tcp::endpoint m_store_of_first;
     std::shared_ptr<http::server> m_relay;
     recording_sink m_direct_sink{m_context};
     recording_sink m_relay_sink{m_context};
@@ -171,6 +195,46 @@
     EXPECT_TRUE(wait_until(3s, [this] { return !second_vm_knows("one"); }));
 }
 
+// Guards against a replica that is used too long because the removal of its entry is taken for new
+// when it is heard of.
+TEST_F(gateway_reads_test, late_deletion_states_its_age_and_prompt_one_none)
+{
+    constexpr std::chrono::milliseconds polling_margin{200};
+    m_batch_delay = 1s;
+    start(m_unreachable_address);
+    ASSERT_TRUE(wait_until(5s, [this] { return second_vm_knows("one"); }));
+    for (const char* name : {"two", "three"})
+        m_store->put("servers", name, Json::objectValue);
+    ASSERT_TRUE(wait_until(5s, [this] { return second_vm_knows("three"); }));
+    // The first VM reads the store again only after the batch delay.
+    const std::chrono::milliseconds late = remove("one");
+    EXPECT_GE(last_age(), late - polling_margin);
+    EXPECT_LE(last_age(), late + m_batch_delay);
+    sleep_for(2'500ms);
+    remove("two");
+    EXPECT_LE(last_age(), polling_margin);
+}
+
+// Guards against a VM that takes the answers of a mirror for up to date although the VM that serves
+// it has had none from the store for seconds.
+TEST_F(gateway_reads_test, age_of_deletion_covers_the_lag_of_the_mirror)
+{
+    constexpr std::chrono::milliseconds polling_margin{200};
+    start(m_store->address());
+    // After its start the second VM may read the store for some changes.
+    ASSERT_TRUE(wait_until(5s,
+                           [this]
+                           {
+                               m_store->put("servers", "another", Json::objectValue);
+                               m_store->remove("servers", "another");
+                               return second_vm_knows("one") && !m_relay_sink.is_from_store.load();
+                           }));
+    m_store->delay_answers_at(m_store_of_first, 20s);
+    const std::chrono::milliseconds late = remove("one");
+    EXPECT_GT(late, 1s) << "the mirror did not lag";
+    EXPECT_GE(last_age(), late - polling_margin);
+}
+
 // Guards against changes that are missed, and against objects that are kept, when the store comes
 // back from an older copy and gives out its revisions again, also several times.
 TEST_F(gateway_reads_test, store_that_comes_back_from_an_older_copy_is_read_anew)
--- a/tests/unit/forwarding_replica_test.cpp
+++ b/tests/unit/forwarding_replica_test.cpp
@@ -163,6 +163,20 @@
     EXPECT_EQ(m_removed, std::vector<std::string>{"one"});
 }
 
+// Guards against requests to a replica that left some time before this VM heard of it: the removal
+// delay counts from the removal.
+TEST_F(replica_directory_test, removal_heard_of_late_leaves_the_rest_of_the_delay)
+{
+    m_directory.apply_listing({m_first_entry, m_second_entry}, m_now);
+    m_directory.apply_removal("one", m_now, 1200ms);
+    EXPECT_EQ(m_directory.next_expiry(), m_now + m_removal_delay - 1200ms);
+    m_directory.remove_expired(m_now + m_removal_delay - 1200ms);
+    EXPECT_EQ(ids(), std::set<std::string>{"two"});
+    m_directory.apply_listing({}, m_now, 1h);
+    EXPECT_EQ(m_directory.next_expiry(),
+              m_now + m_removal_delay / replica_directory::min_delay_divisor);
+}
+
 // Guards against a removal delay that each list extends.
 TEST_F(replica_directory_test, removal_delay_starts_with_first_missing_entry)
 {
