Forwarding: Forget configurations that have reached all VMs

Cause, found by reading: version_floor kept a record of each adopted configuration until a request was handed over; a VM that never hands one over kept them for good (16 bytes each). Change: adopting one drops those whose spread time is over. forwarding_version_test passes.

--- a/source/forwarding/version_floor.cpp
+++ b/source/forwarding/version_floor.cpp
@@ -9,6 +9,7 @@
 
 void version_floor::record_adopted(std::uint64_t version, base::time_point now)
 {
+    raise(now);
     m_spreading.push_back({version, now});
 }
 
@@ -27,13 +28,18 @@
 }
 
 std::uint64_t version_floor::required(base::time_point now)
+{
+    raise(now);
+    return m_required;
+}
+
+void version_floor::raise(base::time_point now)
 {
     while (!m_spreading.empty() && now >= m_spreading.front().adopted_at + m_spread_time)
     {
         record_seen(m_spreading.front().version);
         m_spreading.pop_front();
     }
-    return m_required;
 }
 
 bool version_floor::is_outdated(std::uint64_t version, base::time_point now) const
--- a/source/forwarding/version_floor.hpp
+++ b/source/forwarding/version_floor.hpp
@@ -49,6 +49,9 @@
         base::time_point adopted_at{};
     };
 
+    // Requires the configurations that have reached the other VMs.
+    void raise(base::time_point now);
+
     std::chrono::milliseconds m_spread_time;
     // Adopted configurations that may not have reached the other VMs, oldest first.
     std::deque<adoption> m_spreading;
