--- a/tests/gateway/gateway_reads_test.cpp
+++ b/tests/gateway/gateway_reads_test.cpp
@@ -101,10 +101,11 @@
         m_store_of_first = m_store->serve_edited([](std::string&) {}, reason).value();
         m_direct_follower.emplace(m_context, std::vector<read_source>{{m_store_of_first, false}},
                                   "servers", m_batch_delay, m_direct_sink);
-        m_relay_follower.emplace(
-            m_context,
-            std::vector<read_source>{{m_relay->address(), true}, {store_of_second, false}},
-            "servers", 20ms, m_relay_sink);
+        std::vector<read_source> sources(m_unreachable_relays, {m_unreachable_address, true});
+        if (m_unreachable_relays == 0)
+            sources.push_back({m_relay->address(), true});
+        sources.push_back({store_of_second, false});
+        m_relay_follower.emplace(m_context, sources, "servers", 20ms, m_relay_sink);
         http::asio::co_spawn(
             m_context, [this] { return m_direct_follower->run(); }, http::asio::detached);
         http::asio::co_spawn(
@@ -119,6 +120,21 @@
         return result.get_future().get();
     }
 
+    // Takes the store away for some seconds; returns the time from its return until the second VM
+    // knows of a change.
+    std::chrono::milliseconds measure_recovery(const std::string& name)
+    {
+        m_store->set_mode(standins::store_mode::refusing);
+        m_store->cut_connections();
+        sleep_for(5s);
+        m_store->set_mode(standins::store_mode::serving);
+        const auto start = std::chrono::steady_clock::now();
+        m_store->put("servers", name, Json::objectValue);
+        EXPECT_TRUE(wait_until(20s, [&] { return second_vm_knows(name); }));
+        return std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - start);
+    }
+
     // Age of the last changes as the second VM reports them.
     std::chrono::milliseconds last_age()
     {
@@ -138,6 +154,8 @@
     }
 
     std::chrono::milliseconds m_batch_delay{20};
+    // VMs that the second one would read from and cannot reach.
+    std::size_t m_unreachable_relays = 0;
     http::asio::io_context m_context;
     http::asio::executor_work_guard<http::asio::io_context::executor_type> m_work_guard{
         m_context.get_executor()};
@@ -259,6 +277,19 @@
     }
 }
 
+// Guards against a VM that notices the return of the store seconds late, because it tries VMs that
+// it cannot reach first, with a pause after each.
+TEST_F(gateway_reads_test, return_of_the_store_is_noticed_within_the_retry_interval)
+{
+    constexpr std::chrono::milliseconds margin{300};
+    m_unreachable_relays = 5;
+    start(m_store->address());
+    ASSERT_TRUE(wait_until(10s, [this] { return second_vm_knows("one"); }));
+    for (const char* name : {"two", "three", "four"})
+        EXPECT_LE(measure_recovery(name),
+                  platform::store_follower<recording_sink>::store_retry_interval + margin);
+}
+
 // Guards against a VM that goes back to an earlier era, because the VM it reads from has not heard
 // of the later one yet.
 TEST_F(gateway_reads_test, source_of_an_earlier_era_is_not_used)
