--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -347,7 +347,7 @@
         OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway",
         std::vector<std::string>{"--settings", item.settings_path, "--metrics-port",
                                  std::to_string(metrics_port)},
-        fmt::format("{}/{}.log", m_folder, item.name));
+        fmt::format("{}/{}-{}.log", m_folder, item.name, ++item.start_count));
 }
 
 std::size_t platform_fleet::peak_memory_bytes(std::size_t vm)
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -80,6 +80,8 @@
     std::string data_centre;
     std::string ip;
     std::string settings_path;
+    /// Each start has a log of its own.
+    unsigned start_count = 0;
     std::unique_ptr<child_process> process;
 };
 
