--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -3,6 +3,7 @@
 #include "standins/users_platform/replica_standin.hpp"
 
 #include <charconv>
+#include <stdexcept>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -19,6 +20,13 @@
 constexpr unsigned first_redirect_status = 300;
 constexpr milliseconds second_answer_delay{3};
 
+bool crashes_on(const http::request& message, const replica_behaviour& behaviour)
+{
+    const std::string& text = behaviour.crash_text;
+    return !text.empty() && (std::string(message.target()).find(text) != std::string::npos ||
+                             message.body().find(text) != std::string::npos);
+}
+
 } // namespace
 
 struct replica_standin::session
@@ -90,22 +98,61 @@
 }
 
 void replica_standin::stop()
+{
+    http::asio::post(m_context, [self = shared_from_this()] { self->close_all(); });
+}
+
+void replica_standin::close_all()
+{
+    boost::system::error_code ignored;
+    m_acceptor.close(ignored);
+    const std::scoped_lock lock(m_mutex);
+    for (const auto& client_session : m_sessions)
+    {
+        client_session->socket.set_option(http::asio::socket_base::linger(true, 0), ignored);
+        client_session->socket.close(ignored);
+    }
+}
+
+void replica_standin::crash(milliseconds restart_delay)
 {
     http::asio::post(m_context,
-                     [self = shared_from_this()]
+                     [self = shared_from_this(), restart_delay]
                      {
-                         boost::system::error_code ignored;
-                         self->m_acceptor.close(ignored);
-                         const std::scoped_lock lock(self->m_mutex);
-                         for (const auto& client_session : self->m_sessions)
+                         // One that is down already stays down for no longer.
+                         if (!self->m_acceptor.is_open())
+                             return;
+                         self->close_all();
                          {
-                             client_session->socket.set_option(
-                                 http::asio::socket_base::linger(true, 0), ignored);
-                             client_session->socket.close(ignored);
+                             const std::scoped_lock lock(self->m_mutex);
+                             ++self->m_crashes;
                          }
+                         http::asio::co_spawn(
+                             self->m_context,
+                             [self, restart_delay] { return self->restart(restart_delay); },
+                             http::asio::detached);
                      });
 }
 
+http::awaitable<void> replica_standin::restart(milliseconds delay)
+{
+    const auto self = shared_from_this();
+    boost::system::error_code ignored;
+    http::asio::steady_timer timer(m_context, delay);
+    co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+    base::error reason;
+    if (!listen(m_address, reason))
+        throw std::runtime_error(reason.message);
+    http::asio::co_spawn(
+        m_context, [self] { return self->accept(); }, http::asio::detached);
+}
+
+std::uint64_t replica_standin::crashes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_crashes;
+}
+
 std::map<std::string, unsigned> replica_standin::executions() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -296,6 +343,15 @@
         ++m_abandoned;
         co_return false;
     }
+    if (crashes_on(message, behaviour))
+    {
+        crash(behaviour.restart_delay);
+        // The crash resets the connection.
+        co_await client_session->socket.async_wait(
+            http::tcp::socket::wait_read,
+            http::asio::redirect_error(http::asio::use_awaitable, code));
+        co_return false;
+    }
     if (behaviour.has_endless_head || behaviour.has_endless_body)
     {
         co_await send_endless_reply(client_session, behaviour.has_endless_body);
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -52,6 +52,10 @@
     bool has_endless_body = false;
     /// Closes the connection after each answer.
     bool closes = false;
+    /// A request whose target or body contains this text crashes the replica; none when empty.
+    std::string crash_text = {};
+    /// Time from a crash until the replica listens again.
+    std::chrono::milliseconds restart_delay{1000};
     std::string body = "0123456789abcdef";
 };
 
@@ -89,6 +93,8 @@
     void change_id(std::string id);
     /// Stops accepting and resets all connections.
     void stop();
+    /// Resets all connections, and listens again after `restart_delay`.
+    void crash(std::chrono::milliseconds restart_delay);
 
     /// Number of executions by request id.
     std::map<std::string, unsigned> executions() const;
@@ -97,6 +103,8 @@
     /// Requests whose connection was closed before they were answered.
     std::uint64_t abandoned() const;
     std::size_t open_connections() const;
+    /// Number of crashes so far.
+    std::uint64_t crashes() const;
     std::vector<std::chrono::milliseconds> deadlines() const;
     std::vector<std::chrono::steady_clock::time_point> arrival_times() const;
     std::vector<request_arrival> request_arrivals() const;
@@ -109,6 +117,8 @@
     replica_standin(http::asio::io_context& context, std::string id);
     bool listen(const http::tcp::endpoint& address, base::error& reason);
     http::awaitable<void> accept();
+    void close_all();
+    http::awaitable<void> restart(std::chrono::milliseconds delay);
     http::awaitable<void> serve(std::shared_ptr<session> client_session);
     http::awaitable<bool> serve_one(std::shared_ptr<session> client_session);
     http::awaitable<bool> send(std::shared_ptr<session> client_session, std::string text);
@@ -131,6 +141,7 @@
     std::set<std::shared_ptr<session>> m_sessions;
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_abandoned = 0;
+    std::uint64_t m_crashes = 0;
     std::uint64_t m_receipts = 0;
     std::vector<std::chrono::milliseconds> m_deadlines;
     std::vector<request_arrival> m_request_arrivals;
