Platform: Log the fingerprint of requests whose attempts fail

Cause: each copy of a request has an id of its own, so that neither logs nor metrics told the copies of one request from other requests, and the hypotheses of docs/incidents/2026-12-04-request-that-crashes-replicas.md apart.

Change: a hash (XXH3, 128 bits) of method, host, target, credentials and body, in the lines attempt_failed and answer.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -17,6 +17,7 @@
 
 #include <fmt/format.h>
 
+#include "base/fingerprint.hpp"
 #include "forwarding/answer.hpp"
 #include "forwarding/query_part.hpp"
 #include "forwarding/reach_monitor.hpp"
@@ -34,6 +35,8 @@
 {
     std::string id;
     std::shared_ptr<const Message> message;
+    /// Recognises requests with the same content.
+    base::fingerprint fingerprint;
     /// How long the caller waits, counted from the arrival of the request.
     std::chrono::milliseconds deadline{0};
     /// Part of the objective that earlier requests of this caller have already used.
@@ -127,6 +130,7 @@
     void on_reach_lost(std::function<void()> action) { m_on_reach_lost = std::move(action); }
 
     const std::string& id() const { return m_request.id; }
+    const base::fingerprint& fingerprint() const { return m_request.fingerprint; }
     const route& rule() const { return m_route; }
     std::uint64_t version() const { return m_table->version(); }
     bool is_finished() const { return m_is_finished; }
