Forwarding: Refuse requests that crash the replicas which run them

Cause: a VM remembered replicas, not requests. Whatever had crashed under a request, its next copy was sent like a new one; hedges took it to the second replica of each shard before the first had crashed, retries after that, and handover to VMs that knew nothing of it.

Change: - routing/crash_ledger holds evidence by fingerprint. A request is condemned after crashes in two trials without an answer between; attempts that may have met the same outage are one trial, on whatever VMs. An answer clears it at once, crashes that a condemned request explains are not held against others, all evidence expires, and its memory is bounded. - A replica counts as crashed if it closes a connection without an answer and refuses the next one (or closes it at once, as behind a proxy). A lost answer alone is no evidence. - While a request is suspected, one of its copies on each VM goes to one replica; the others wait for its answer. The trial never takes the last replicas that the route needs.

--- a/source/forwarding/attempt.hpp
+++ b/source/forwarding/attempt.hpp
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/fingerprint.hpp"
 #include "forwarding/replica.hpp"
 #include "forwarding/route_knowledge.hpp"
 
@@ -78,10 +79,19 @@
     std::optional<double> request_limit;
     /// With `not_sent`: the replica has reached its connection limit.
     bool is_connection_rejected = false;
+    /// With `lost`: the replica accepts no connections since, so that its process has ended.
+    bool has_crashed = false;
     /// Why there is no usable reply.
     std::string reason;
 };
 
+/// Whether a replica has run the request and answered it.
+inline bool shows_execution(const attempt_result& result)
+{
+    return result.outcome == attempt_outcome::succeeded ||
+           (result.outcome == attempt_outcome::failed && !result.reply.receipt.empty());
+}
+
 /// `Run` is the type of the request that the attempt belongs to, `Message` that of the data sent.
 template<class Run, class Message>
 struct attempt
@@ -91,6 +101,8 @@
     /// Expired once the request has been answered.
     std::weak_ptr<Run> run;
     std::size_t part = 0;
+    /// Recognises requests with the same content.
+    base::fingerprint fingerprint;
     base::time_point sent_at{};
     /// When the replica should stop working on the request.
     base::time_point deadline{};
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/hash.hpp"
 #include "base/random.hpp"
 #include "forwarding/isolation_monitor.hpp"
 #include "forwarding/reach_monitor.hpp"
@@ -24,6 +25,7 @@
 #include "forwarding/request_run.hpp"
 #include "forwarding/route_knowledge.hpp"
 #include "forwarding/traffic_split.hpp"
+#include "forwarding/trial_register.hpp"
 #include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
@@ -77,7 +79,8 @@
     dispatcher(const Clock& clock, Random& random, Transport& transport, Observer& observer,
                replica_directory& directory, dispatcher_settings settings)
         : m_clock(clock), m_random(random), m_transport(transport), m_observer(observer),
-          m_directory(directory), m_settings(std::move(settings)), m_reach_monitor(clock.now())
+          m_directory(directory), m_settings(std::move(settings)), m_reach_monitor(clock.now()),
+          m_crashes(choose_seed())
     {
     }
 
@@ -108,15 +111,20 @@
         return run;
     }
 
-    /// Called by the transport with the result of an attempt.
+    /// Called by the transport with the result of an attempt; once more for a lost one if it turns
+    /// out later that the replica has crashed.
     void on_attempt_end(const std::shared_ptr<attempt_type>& ended, attempt_result result)
     {
+        record_evidence(*ended, result);
         if (ended->is_ended)
             return;
         ended->is_ended = true;
         record_outcome(*ended, result);
+        const bool is_verdict = result.has_crashed || shows_execution(result);
         if (const auto run = ended->run.lock())
             run->on_attempt_end(*ended, std::move(result));
+        if (is_verdict)
+            resume_trials(ended->fingerprint);
         resume_waiting(ended->target->registry_entry().service);
     }
 
@@ -156,6 +164,22 @@
                            { return has_live_replica(each.service); });
     }
 
+    /// Returns the answer to a request that crashes the replicas which run it; empty for others.
+    std::optional<answer> refuse_condemned(const base::fingerprint& request,
+                                           std::chrono::milliseconds deadline)
+    {
+        if (assess(request) != routing::crash_verdict::condemned)
+            return std::nullopt;
+        answer result;
+        result.kind = answer_kind::not_run;
+        result.reason = "replicas crashed under earlier requests with the same content";
+        result.retry_after = choose_retry_after(deadline, m_crashes.blocked_until(request));
+        return result;
+    }
+
+    /// Evidence about requests that crash replicas.
+    routing::crash_ledger& crashes() { return m_crashes; }
+
     timer_queue& timers() { return m_timers; }
     base::time_point now() const { return m_clock.now(); }
 
@@ -229,6 +253,22 @@
         return result;
     }
 
+    struct replica_counts
+    {
+        std::size_t live = 0;
+        std::size_t down = 0;
+    };
+
+    /// Counts the listed replicas of a service that are not about to stop.
+    replica_counts count_replicas(const std::string& service) const
+    {
+        replica_counts result;
+        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
+            if (candidate->is_ready())
+                ++(candidate->is_down(m_clock.now()) ? result.down : result.live);
+        return result;
+    }
+
     /// Whether some replica of the service takes requests now.
     bool has_live_replica(const std::string& service) const
     {
@@ -317,6 +357,24 @@
         budget_of(service).record_repeat(m_clock.now(), m_settings.repeats);
     }
 
+    routing::crash_verdict assess(const base::fingerprint& request) const
+    {
+        return m_crashes.assess(request, m_clock.now());
+    }
+    base::time_point next_trial_at(const base::fingerprint& request) const
+    {
+        return m_crashes.next_trial_at(request);
+    }
+    /// Whether the request may be the only one of its content that is sent now. If not, its
+    /// `on_trial_ended` is called later.
+    bool start_trial(const std::shared_ptr<run_type>& run) { return m_trials.start(run); }
+    /// Ends the trial of a request, if it has one.
+    void end_trial(const run_type& run)
+    {
+        if (m_trials.end(run))
+            resume_trials(run.fingerprint());
+    }
+
     void record_unservable() { m_isolation_monitor.record_unservable(m_clock.now()); }
     void report_hedge(const run_type& run, const std::string& service, const replica& target,
                       base::duration waited)
@@ -412,6 +470,32 @@
         return rule.services[split->second.next()].service;
     }
 
+    std::uint64_t choose_seed()
+    {
+        constexpr std::uint64_t half = std::uint64_t{1} << 32U;
+        return (m_random.below(half) << 32U) | m_random.below(half) | 1U;
+    }
+
+    void record_evidence(const attempt_type& ended, const attempt_result& result)
+    {
+        const base::time_point now = m_clock.now();
+        if (shows_execution(result))
+            m_crashes.record_answer(ended.fingerprint, now);
+        if (!result.has_crashed)
+            return;
+        m_crashes.record_crash(
+            ended.fingerprint,
+            {base::stable_hash(ended.target->registry_entry().id), ended.sent_at, now});
+        m_observer.on_replica_crashed(ended, assess(ended.fingerprint));
+    }
+
+    // Lets the requests go on that wait for the trial of another one with the same content.
+    void resume_trials(const base::fingerprint& request)
+    {
+        for (const auto& waiting : m_trials.take_waiting(request))
+            waiting->on_trial_ended();
+    }
+
     void record_outcome(const attempt_type& ended, const attempt_result& result)
     {
         const base::time_point now = m_clock.now();
@@ -543,6 +627,8 @@
     // By service.
     std::map<std::string, repeat_budget> m_budgets;
     std::map<std::string, std::deque<waiting_part>> m_waiting;
+    routing::crash_ledger m_crashes;
+    trial_register<run_type> m_trials;
 };
 
 } // namespace ospreystair::forwarding
--- a/source/forwarding/query_part.hpp
+++ b/source/forwarding/query_part.hpp
@@ -39,6 +39,8 @@
     std::size_t open_attempts = 0;
     /// Whether the part waits for a free connection to a replica.
     bool is_waiting = false;
+    /// Whether the part waits until another attempt shows that the request does not crash replicas.
+    bool is_held = false;
     /// When a hedge is due; empty when no hedge is scheduled.
     std::optional<base::time_point> hedge_at;
     /// The most recent failure reply, relayed when no attempt succeeds.
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -24,6 +24,7 @@
 #include "forwarding/route_table.hpp"
 #include "forwarding/straggler_rule.hpp"
 #include "forwarding/timer_queue.hpp"
+#include "routing/crash_ledger.hpp"
 #include "routing/deadline_budget.hpp"
 
 namespace ospreystair::forwarding
@@ -57,6 +58,9 @@
     static constexpr std::chrono::milliseconds answer_margin{10};
     /// A request waits for a connection for at most the objective divided by this.
     static constexpr int max_wait_divisor = 4;
+    /// Replicas that were asked at the start of a request are silent by then.
+    static constexpr std::chrono::milliseconds reach_check_delay =
+        reach_monitor::silence_threshold + std::chrono::milliseconds{20};
 
     request_run(Dispatcher& dispatcher, caller_request<Message> request,
                 std::shared_ptr<const route_table> table, const route& rule,
@@ -66,7 +70,8 @@
           m_baseline(m_statistics->baseline(rule.objective)), m_on_answer(std::move(on_answer)),
           m_deadline_budget(dispatcher.now(), std::min(m_request.deadline, rule.timeout)),
           m_started_at(dispatcher.now()), m_answer_at(compute_answer_time()),
-          m_straggler_rule(m_started_at, m_baseline, rule.objective)
+          m_straggler_rule(m_started_at, m_baseline, rule.objective),
+          m_next_probe_at(m_started_at + probe_interval())
     {
     }
 
@@ -76,6 +81,10 @@
         for (const std::string& service : services)
             m_parts.emplace_back(service);
         m_open_parts = m_parts.size();
+        if (refuse_if_condemned())
+            return;
+        m_is_suspected =
+            m_dispatcher.assess(m_request.fingerprint) == routing::crash_verdict::suspected;
         if (refuse_if_unservable(services))
             return;
         schedule_timers();
@@ -98,17 +107,30 @@
         m_straggler_rule.record_completion(m_dispatcher.now());
         if (may_have_run(result.outcome))
             m_may_have_run = true;
+        record_evidence(result);
         m_dispatcher.report_attempt(*this, owner.service, ended, result);
         if (result.outcome == attempt_outcome::succeeded ||
             (result.outcome == attempt_outcome::failed && is_final_failure(result)))
             complete_part(owner, std::move(result.reply), result.outcome);
         else
             retry_or_fail(ended.part, ended, std::move(result));
+        resume_held_parts();
         finish_if_decided();
         if (!m_is_finished && m_is_hedge_postponed)
             hedge_due_parts();
     }
 
+    /// Another request with the same content has ended its trial, or this one may start its next.
+    void on_trial_ended()
+    {
+        if (m_is_finished)
+            return;
+        m_is_suspected =
+            m_dispatcher.assess(m_request.fingerprint) != routing::crash_verdict::clear;
+        resume_held_parts();
+        finish_if_decided();
+    }
+
     /// A connection to a replica of the part's service has become free.
     void on_connection_available(std::size_t index)
     {
@@ -193,36 +215,146 @@
             m_answer_timer = m_dispatcher.timers().schedule(m_answer_at, on_timer);
         // Another VM may ask one more replica.
         if (m_route.is_idempotent && m_route.max_attempts > 1)
-            schedule_reach_check();
+            schedule_reach_check(reach_check_delay);
     }
 
     // A VM that has lost all replicas notices it by their silence, while requests wait for them.
-    void schedule_reach_check()
+    void schedule_reach_check(std::chrono::milliseconds delay)
     {
-        constexpr std::chrono::milliseconds margin{20};
-        m_reach_timer = m_dispatcher.timers().schedule(
-            m_dispatcher.now() + reach_monitor::silence_threshold + margin,
-            [self = this->weak_from_this()]
-            {
-                if (const auto run = self.lock())
-                    run->check_reach();
-            });
+        m_reach_timer = m_dispatcher.timers().schedule(m_dispatcher.now() + delay,
+                                                       [self = this->weak_from_this()]
+                                                       {
+                                                           if (const auto run = self.lock())
+                                                               run->check_reach();
+                                                       });
     }
 
     void check_reach()
     {
+        // Hedges that go out later than the first attempts may be silent for long enough soon.
+        constexpr std::chrono::milliseconds silent_check_interval{50};
         if (m_is_finished)
             return;
-        if (m_answered >= required_parts() || !m_dispatcher.update_reach())
-            return schedule_reach_check();
+        // A request that may have crashed the replicas here must not reach others through other
+        // VMs.
+        if (m_answered >= required_parts() || is_cautious() || !m_dispatcher.update_reach())
+            return schedule_reach_check(m_has_reply ? reach_check_delay : silent_check_interval);
         if (const auto action = std::exchange(m_on_reach_lost, nullptr))
             action();
     }
 
-    // Sends an attempt for the part, queues the part for a connection, or fails it.
+    // While replicas have crashed under requests with this content and none has answered, one
+    // attempt at a time is sent, by one request at a time.
+    bool is_cautious() const { return !m_has_reply && (m_is_suspected || m_has_crashed); }
+
+    void record_evidence(const attempt_result& result)
+    {
+        m_has_reply = m_has_reply || shows_execution(result);
+        if (!result.has_crashed)
+            m_next_probe_at = std::min(m_next_probe_at, m_dispatcher.now());
+        if (!result.has_crashed)
+            return;
+        // A request to one service is repeated at once: one crash is no reason to wait.
+        m_may_repeat_at_once = !m_has_crashed && !m_is_suspected && !m_route.is_gather();
+        m_has_crashed = true;
+    }
+
+    bool is_condemned() const
+    {
+        return is_cautious() &&
+               m_dispatcher.assess(m_request.fingerprint) == routing::crash_verdict::condemned;
+    }
+
+    bool has_open_attempt() const
+    {
+        return std::any_of(m_parts.begin(), m_parts.end(),
+                           [](const query_part& item) { return item.open_attempts > 0; });
+    }
+
+    // Sends the parts that were held as far as that is possible now, or fails them all when the
+    // request has turned out to crash replicas.
+    void resume_held_parts()
+    {
+        const bool is_any_held = std::any_of(m_parts.begin(), m_parts.end(),
+                                             [](const query_part& item) { return item.is_held; });
+        if (!is_any_held)
+            return;
+        if (is_cautious() && !m_may_have_run && !has_open_attempt() && refuse_if_condemned())
+            return;
+        for (std::size_t index = 0; index < m_parts.size() && !m_is_finished; ++index)
+        {
+            query_part& item = m_parts[index];
+            if (!std::exchange(item.is_held, false) || item.state != part_state::open)
+                continue;
+            const bool is_repeat = !item.tried.empty();
+            if (is_repeat && !m_dispatcher.may_repeat(item.service))
+                fail_part(item, "the budget for repeats is exhausted");
+            else
+                start_attempt(index);
+        }
+    }
+
+    // Call it only when the request has not been sent.
+    bool refuse_if_condemned()
+    {
+        auto refusal = m_dispatcher.refuse_condemned(m_request.fingerprint, m_request.deadline);
+        if (refusal)
+            finish(std::move(*refusal));
+        return refusal.has_value();
+    }
+
+    // Whether the route could still be served if one more replica of the part's service crashed. If
+    // none is down now, the service has no more of them than usual.
+    bool has_spare_replica(const query_part& item) const
+    {
+        const auto counts = m_dispatcher.count_replicas(item.service);
+        if (counts.live > 1 || counts.down == 0)
+            return true;
+        std::vector<std::string> services;
+        for (const query_part& each : m_parts)
+            services.push_back(each.service);
+        return m_dispatcher.find_servable(services).count > required_parts();
+    }
+
+    bool may_start_trial()
+    {
+        const base::time_point at = m_dispatcher.next_trial_at(m_request.fingerprint);
+        if (!std::exchange(m_may_repeat_at_once, false) && m_dispatcher.now() < at)
+        {
+            arm_trial_timer(at);
+            return false;
+        }
+        return !has_open_attempt() && m_dispatcher.start_trial(this->shared_from_this());
+    }
+
+    void arm_trial_timer(base::time_point at)
+    {
+        m_dispatcher.timers().cancel(m_trial_timer);
+        m_trial_timer = m_dispatcher.timers().schedule(at,
+                                                       [self = this->weak_from_this()]
+                                                       {
+                                                           if (const auto run = self.lock())
+                                                               run->on_trial_ended();
+                                                       });
+    }
+
+    // Sends an attempt for the part, queues the part for a connection, holds it, or fails it.
     void start_attempt(std::size_t index)
     {
         query_part& item = m_parts[index];
+        if (is_condemned())
+            return fail_part(item, "replicas crash under the request");
+        if (is_cautious() && !may_start_trial())
+        {
+            item.is_held = true;
+            return;
+        }
+        if (is_cautious() && !has_spare_replica(item))
+        {
+            m_is_trial_refused = true;
+            return fail_part(item,
+                             "replicas crashed under the request, and no other can be spared");
+        }
         const bool is_repeat = !item.tried.empty();
         typename Dispatcher::choice choice;
         if (!has_tried_all(item))
@@ -281,6 +413,7 @@
         next->message = m_request.message;
         next->run = this->weak_from_this();
         next->part = index;
+        next->fingerprint = m_request.fingerprint;
         next->sent_at = now;
         next->deadline = m_deadline_budget.end();
         next->baseline = m_baseline;
@@ -336,6 +469,11 @@
     void hedge_due_parts()
     {
         const base::time_point now = m_dispatcher.now();
+        if (m_has_crashed && !m_has_reply)
+        {
+            m_is_hedge_postponed = true;
+            return;
+        }
         const base::time_point straggler_deadline =
             m_straggler_rule.straggler_deadline(m_open_parts, m_parts.size());
         m_is_hedge_postponed = straggler_deadline > now;
@@ -344,14 +482,35 @@
         for (std::size_t index = 0; index < m_parts.size() && !m_is_finished; ++index)
         {
             const query_part& item = m_parts[index];
-            if (item.state == part_state::open && item.hedge_at && *item.hedge_at <= now)
-                hedge(index);
+            if (item.state != part_state::open || !item.hedge_at || *item.hedge_at > now)
+                continue;
+            if (!may_hedge(now))
+            {
+                m_is_hedge_postponed = true;
+                return arm_hedge_timer(m_next_probe_at);
+            }
+            hedge(index);
         }
         for (const query_part& item : m_parts)
             if (item.state == part_state::open && item.hedge_at && !m_is_finished)
                 arm_hedge_timer(*item.hedge_at);
     }
 
+    // While no replica has answered any part of a query, the query itself may be the cause, and
+    // hedges of all parts would take it to all other replicas. One at a time tells whether they
+    // answer.
+    base::duration probe_interval() const
+    {
+        constexpr int divisor = 3;
+        return std::max<base::duration>(m_baseline.overdue_after, m_route.objective / divisor);
+    }
+
+    bool may_hedge(base::time_point now) const
+    {
+        const bool is_single = m_parts.size() == 1 && !is_cautious();
+        return m_has_reply || is_single || now >= m_next_probe_at;
+    }
+
     // Sends the part to a second replica when the reply of the first one is overdue.
     void hedge(std::size_t index)
     {
@@ -377,6 +536,7 @@
         }
         m_dispatcher.report_hedge(*this, item.service, *choice.target,
                                   m_straggler_rule.hedge_delay(m_parts.size()));
+        m_next_probe_at = now + probe_interval();
         send(index, choice.target, true);
     }
 
@@ -539,7 +699,8 @@
         answer result;
         result.kind = answer_kind::not_run;
         result.retry_after = m_dispatcher.choose_retry_after(m_request.deadline, find_reopening());
-        result.is_out_of_reach = std::any_of(m_parts.begin(), m_parts.end(),
+        result.is_out_of_reach = !m_is_trial_refused &&
+                                 std::any_of(m_parts.begin(), m_parts.end(),
                                              [this](const query_part& item) {
                                                  return item.state != part_state::answered &&
                                                         m_dispatcher.is_out_of_reach(item.service);
@@ -573,6 +734,8 @@
         m_dispatcher.timers().cancel(m_hedge_timer);
         m_dispatcher.timers().cancel(m_wait_timer);
         m_dispatcher.timers().cancel(m_reach_timer);
+        m_dispatcher.timers().cancel(m_trial_timer);
+        m_dispatcher.end_trial(*this);
         m_on_reach_lost = nullptr;
         m_dispatcher.drop_later(std::move(m_attempts));
         // The callback may destroy this object.
@@ -594,6 +757,8 @@
     // When a gathered query is answered with the parts available, if they are enough.
     const base::time_point m_answer_at;
     straggler_rule m_straggler_rule;
+    // When a query that no replica has answered may be hedged again.
+    base::time_point m_next_probe_at;
     std::vector<query_part> m_parts;
     std::vector<std::shared_ptr<attempt_type>> m_attempts;
     // Invariant: m_open_parts and m_answered count the parts in these states.
@@ -602,6 +767,16 @@
     // Replicas to which no byte of the request could be sent.
     std::vector<std::shared_ptr<replica>> m_unreached;
     bool m_may_have_run = false;
+    // Whether replicas crashed under earlier requests with the same content.
+    bool m_is_suspected = false;
+    // Whether a replica crashed under this one.
+    bool m_has_crashed = false;
+    // Whether a replica has run this one and answered.
+    bool m_has_reply = false;
+    // Whether the next attempt need not wait until an outage of several replicas would be over.
+    bool m_may_repeat_at_once = false;
+    // Whether the request was not sent to the last replicas that others need.
+    bool m_is_trial_refused = false;
     bool m_is_finished = false;
     std::uint32_t m_send_count = 0;
     std::uint32_t m_repeat_count = 0;
@@ -609,6 +784,7 @@
     timer_queue::handle m_answer_timer = 0;
     timer_queue::handle m_wait_timer = 0;
     timer_queue::handle m_reach_timer = 0;
+    timer_queue::handle m_trial_timer = 0;
     timer_queue::handle m_hedge_timer = 0;
     base::time_point m_hedge_timer_at{};
     // Whether overdue parts are not hedged yet because more than stragglers are missing.
--- a/tests/gateway/gateway_crash_test.cpp
+++ b/tests/gateway/gateway_crash_test.cpp
@@ -25,6 +25,7 @@
 
     gateway_crash_test()
     {
+        m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 10ms; });
         for (std::size_t vm = 0; vm < vm_count; ++vm)
         {
             EXPECT_TRUE(wait_until(
@@ -37,14 +38,13 @@
             {
                 behaviour.crash_text = "deadly";
                 behaviour.restart_delay = restart_delay;
-                behaviour.latency = 10ms;
             });
     }
 
     /// Sends the message, as a new request each time, until all replicas are back.
     caller_answer send_and_wait(std::size_t vm, const caller_message& message)
     {
-        const auto result = m_fleet.send(vm, message);
+        auto result = m_fleet.send(vm, message);
         sleep_for(restart_delay + 1'000ms);
         return result;
     }
@@ -100,6 +100,17 @@
     expect_served("/all/other");
 }
 
+// Guards against hedges that take a query to all replicas which crash later than a hedge is due.
+TEST_F(gateway_crash_test, query_that_crashes_replicas_late_leaves_others_to_serve)
+{
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 30ms; });
+    m_fleet.send(0, {.path = "/all/deadly"});
+    // One hedge tells whether other replicas answer.
+    EXPECT_LE(crash_count(), shard_count + 2);
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 10ms; });
+    expect_served("/all/other");
+}
+
 // Guards against requests to one service that crash replica after replica.
 TEST_F(gateway_crash_test, request_to_one_service_that_crashes_replicas_is_refused_by_all_vms)
 {
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -116,6 +116,7 @@
         item.data_centre = index % 2 == 0 ? "a" : "b";
         item.ip = make_ip(index);
         item.settings_path = fmt::format("{}/{}.toml", m_folder, item.name);
+        item.program = m_options.program;
         write_settings(item);
         start(index);
     }
@@ -344,7 +345,7 @@
     // Waits until a killed process has ended; until then its addresses are in use.
     item.process.reset();
     item.process = std::make_unique<child_process>(
-        OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway",
+        item.program,
         std::vector<std::string>{"--settings", item.settings_path, "--metrics-port",
                                  std::to_string(metrics_port)},
         fmt::format("{}/{}-{}.log", m_folder, item.name, ++item.start_count));
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -80,6 +80,8 @@
     std::string data_centre;
     std::string ip;
     std::string settings_path;
+    /// The gateway of its next start.
+    std::string program;
     /// Each start has a log of its own.
     unsigned start_count = 0;
     std::unique_ptr<child_process> process;
@@ -94,6 +96,8 @@
     double min_coverage = 0.5;
     std::chrono::milliseconds objective{200};
     std::chrono::milliseconds timeout{1000};
+    /// The gateway that VMs start with.
+    std::string program = OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway";
     /// Gives each VM its own routes to the replicas, which `set_routes` cuts.
     bool has_routes = false;
 };
