Soak: Send requests that crash replicas, beside innocent ones that share their content

Callers send copies of one deadly request at any VM for some seconds, beside the requests of the others, which all have the same path and body. Several replicas crash at once for another reason. Checked: no more than three copies arrive later than the stable window after the third crash, and no innocent request is ever refused as deadly. Routes of the test fleet refuse connections in place of a replica that is down: a proxy that accepted them looked like a replica that crashes again.

VMs remember when they last had an answer to a content (routing/recent_answers, a fixed table), refute older evidence, and tell its sender.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -111,8 +111,7 @@
         return run;
     }
 
-    /// Called by the transport with the result of an attempt; once more for a lost one if it turns
-    /// out later that the replica has crashed.
+    /// Called by the transport with the result of an attempt.
     void on_attempt_end(const std::shared_ptr<attempt_type>& ended, attempt_result result)
     {
         record_evidence(*ended, result);
@@ -481,7 +480,8 @@
         const base::time_point now = m_clock.now();
         if (shows_execution(result))
             m_crashes.record_answer(ended.fingerprint, now);
-        if (!result.has_crashed)
+        // A VM that has lost all replicas cannot tell whether they have crashed.
+        if (!result.has_crashed || m_reach_monitor.is_cut_off())
             return;
         m_crashes.record_crash(
             ended.fingerprint,
--- a/source/routing/crash_ledger.cpp
+++ b/source/routing/crash_ledger.cpp
@@ -102,7 +102,10 @@
     const auto found = m_requests.find(request);
     if (found == m_requests.end() || found->second.crashes.empty())
         return {};
-    return found->second.crashes.back().at + outage_spread;
+    const auto jitter =
+        static_cast<std::int64_t>(base::mix_bits(m_seed ^ request.high) %
+                                  static_cast<std::uint64_t>(max_trial_jitter.count()));
+    return found->second.crashes.back().at + outage_spread + std::chrono::milliseconds{jitter};
 }
 
 bool crash_ledger::add_crash(evidence& entry, const replica_crash& crash)
@@ -156,6 +159,7 @@
 
 void crash_ledger::record_answer(const base::fingerprint& request, base::time_point now)
 {
+    m_answers.record(request, now);
     const auto found = m_requests.find(request);
     if (found == m_requests.end())
         return;
@@ -175,7 +179,16 @@
     const std::size_t before = entry.crashes.size();
     if (report.answered_at && *report.answered_at <= now)
         clear_until(entry, *report.answered_at);
+    if (const auto answered_at = m_answers.find(report.request))
+        clear_until(entry, *answered_at);
     bool is_changed = entry.crashes.size() != before;
+    const bool is_refuted =
+        std::any_of(report.crashes.begin(), report.crashes.end(),
+                    [&entry](const replica_crash& crash)
+                    { return entry.answered_at && crash.at <= *entry.answered_at; });
+    // The sender has not heard of the answer.
+    if (is_refuted && !(report.answered_at && *report.answered_at >= *entry.answered_at))
+        m_changed.insert(report.request);
     for (const replica_crash& crash : report.crashes)
         if (crash.at <= now && now - crash.at < evidence_lifetime)
             is_changed = add_crash(entry, crash) || is_changed;
--- a/source/routing/crash_ledger.hpp
+++ b/source/routing/crash_ledger.hpp
@@ -16,6 +16,7 @@
 
 #include "base/clock.hpp"
 #include "base/fingerprint.hpp"
+#include "routing/recent_answers.hpp"
 
 namespace ospreystair::routing
 {
@@ -65,8 +66,9 @@
 /// were sent before the first crash of the trial or shortly after. The second trial is sent to one
 /// replica alone, so that a coincidence is unlikely: an outage that spans many replicas makes a
 /// request suspected, but the next replica answers it. An answer of a replica clears a request at
-/// once. Crashes that a condemned request explains are not held against others with fewer crashes
-/// that ran on the same replica.
+/// once. /// So do answers that other VMs got: a VM that loses its links may take that for crashes,
+/// while others go on. Crashes that a condemned request explains are not held against others with
+/// fewer crashes that ran on the same replica.
 ///
 /// Evidence expires. A condemned request may be tried again after a time that grows with the
 /// number of trials, for the replicas may have been repaired. Memory is bounded: when there are too
@@ -85,6 +87,9 @@
     static constexpr std::size_t min_trials = 2;
     /// Time in which all VMs notice the crashes of one outage.
     static constexpr std::chrono::milliseconds outage_spread{150};
+    /// VMs with different seeds start trials up to this much apart, so that the first one settles
+    /// it.
+    static constexpr std::chrono::milliseconds max_trial_jitter{100};
     /// Time without tries after the last crash; doubled for each further trial.
     static constexpr std::chrono::seconds first_block{60};
     static constexpr std::chrono::seconds max_block{600};
@@ -147,6 +152,7 @@
 
     const std::uint64_t m_seed;
     std::unordered_map<base::fingerprint, evidence> m_requests;
+    recent_answers m_answers;
     // Requests whose evidence has not been reported yet.
     std::unordered_set<base::fingerprint> m_changed;
 };
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -80,6 +80,11 @@
     return true;
 }
 
+void replica_standin::on_listening(std::function<void(bool is_listening)> action)
+{
+    m_on_listening = std::move(action);
+}
+
 std::string replica_standin::address_text() const
 {
     return fmt::format("{}:{}", m_address.address().to_string(), m_address.port());
@@ -122,11 +127,13 @@
                          // One that is down already stays down for no longer.
                          if (!self->m_acceptor.is_open())
                              return;
-                         self->close_all();
                          {
                              const std::scoped_lock lock(self->m_mutex);
                              ++self->m_crashes;
                          }
+                         if (self->m_on_listening)
+                             self->m_on_listening(false);
+                         self->close_all();
                          http::asio::co_spawn(
                              self->m_context,
                              [self, restart_delay] { return self->restart(restart_delay); },
@@ -143,10 +150,18 @@
     base::error reason;
     if (!listen(m_address, reason))
         throw std::runtime_error(reason.message);
+    if (m_on_listening)
+        m_on_listening(true);
     http::asio::co_spawn(
         m_context, [self] { return self->accept(); }, http::asio::detached);
 }
 
+std::vector<request_crash> replica_standin::request_crashes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_request_crashes;
+}
+
 std::uint64_t replica_standin::crashes() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -345,6 +360,11 @@
     }
     if (crashes_on(message, behaviour))
     {
+        {
+            const std::scoped_lock lock(m_mutex);
+            m_request_crashes.push_back(
+                {std::chrono::steady_clock::now(), std::string(message["Request-Id"])});
+        }
         crash(behaviour.restart_delay);
         // The crash resets the connection.
         co_await client_session->socket.async_wait(
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -5,6 +5,7 @@
 #define OSPREYSTAIR_STANDINS_USERS_PLATFORM_REPLICA_STANDIN_HPP
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -70,6 +71,13 @@
     bool has_closed = false;
 };
 
+/// A crash under a request.
+struct request_crash
+{
+    std::chrono::steady_clock::time_point time;
+    std::string request_id;
+};
+
 struct replica_identity
 {
     std::string id;
@@ -89,6 +97,9 @@
     std::string address_text() const;
 
     void set_behaviour(replica_behaviour behaviour);
+    /// `action` is called on the context's thread when a crash begins and when the replica listens
+    /// again. Call this before any crash.
+    void on_listening(std::function<void(bool is_listening)> action);
     /// Simulates another replica at the same address: requests for the old id get 421.
     void change_id(std::string id);
     /// Stops accepting and resets all connections.
@@ -105,6 +116,7 @@
     std::size_t open_connections() const;
     /// Number of crashes so far.
     std::uint64_t crashes() const;
+    std::vector<request_crash> request_crashes() const;
     std::vector<std::chrono::milliseconds> deadlines() const;
     std::vector<std::chrono::steady_clock::time_point> arrival_times() const;
     std::vector<request_arrival> request_arrivals() const;
@@ -142,6 +154,8 @@
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_abandoned = 0;
     std::uint64_t m_crashes = 0;
+    std::function<void(bool)> m_on_listening;
+    std::vector<request_crash> m_request_crashes;
     std::uint64_t m_receipts = 0;
     std::vector<std::chrono::milliseconds> m_deadlines;
     std::vector<request_arrival> m_request_arrivals;
--- a/tests/chaos/chaos_system.cpp
+++ b/tests/chaos/chaos_system.cpp
@@ -161,6 +161,8 @@
     case fault_kind::limit_replica:
     case fault_kind::endless_replies:
     case fault_kind::signal_series:
+    case fault_kind::deadly_requests:
+    case fault_kind::crash_replicas:
         return;
     }
 }
@@ -199,6 +201,8 @@
     case fault_kind::limit_replica:
     case fault_kind::endless_replies:
     case fault_kind::signal_series:
+    case fault_kind::deadly_requests:
+    case fault_kind::crash_replicas:
         return;
     }
 }
--- a/tests/chaos/fault_schedule.hpp
+++ b/tests/chaos/fault_schedule.hpp
@@ -32,7 +32,9 @@
     lose_replicas, ///< VMs lose their links to all replicas.
     limit_replica, ///< A replica names the requests a second that it takes from all VMs.
     endless_replies,
-    signal_series ///< Several signals to one VM, some of which meet its stop or its start.
+    signal_series,   ///< Several signals to one VM, some of which meet its stop or its start.
+    deadly_requests, ///< Callers send requests that crash each replica which runs them.
+    crash_replicas   ///< Several replicas crash at once, whatever they run.
 };
 
 /// One fault; it is cleared at its end.
--- a/tests/chaos/gateway_audit.cpp
+++ b/tests/chaos/gateway_audit.cpp
@@ -122,6 +122,11 @@
         record_violation("every request is answered", exchange, exchange.answer.reason);
     if (is_rejection(exchange.answer.status))
         record_violation("proper requests are not denied", exchange, exchange.answer.body);
+    constexpr std::string_view deadly_reason = "crashed under earlier requests";
+    if (exchange.deadly_content.empty() &&
+        exchange.answer.body.find(deadly_reason) != std::string::npos)
+        record_violation("innocent requests are not refused as deadly", exchange,
+                         exchange.answer.body);
     if (exchange.answer.status != ok)
         return;
     if (exchange.kind == request_kind::gathered)
@@ -505,6 +510,40 @@
     }
 }
 
+void gateway_audit::check_deadly_requests(std::vector<standins::request_crash> crashes,
+                                          const std::vector<standins::request_arrival>& arrivals,
+                                          const sender_finder& find_sender)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::sort(crashes.begin(), crashes.end(),
+              [](const auto& left, const auto& right) { return left.time < right.time; });
+    std::map<std::string, std::size_t> crash_counts;
+    // When no more copies should arrive.
+    std::map<std::string, time_point> stops;
+    for (const auto& crash : crashes)
+        if (const caller_exchange* const exchange = find_exchange(crash.request_id))
+            if (++crash_counts[exchange->deadly_content] == crashes_before_stop)
+                stops[exchange->deadly_content] = crash.time + stable_window;
+    std::map<std::string, std::set<std::string>> late_copies;
+    for (const auto& arrival : arrivals)
+    {
+        const caller_exchange* const exchange = find_exchange(arrival.request_id);
+        const auto stop = exchange ? stops.find(exchange->deadly_content) : stops.end();
+        if (stop == stops.end() || exchange->deadly_content.empty() || arrival.time < stop->second)
+            continue;
+        caller_exchange sent = *exchange;
+        sent.vm = find_sender(arrival.sender).value_or(exchange->vm);
+        if (is_undisturbed(sent, arrival.time))
+            late_copies[exchange->deadly_content].insert(exchange->id);
+    }
+    m_checks["deadly requests"] += stops.size();
+    for (const auto& [content, copies] : late_copies)
+        if (copies.size() > max_deadly_copies)
+            m_violations["requests that crash replicas are stopped"].push_back(
+                fmt::format("{}: {} copies later than {} ms after the third of {} crashes", content,
+                            copies.size(), stable_window.count(), crash_counts[content]));
+}
+
 void gateway_audit::add_reach_loss(reach_loss loss)
 {
     const std::scoped_lock lock(m_mutex);
@@ -534,9 +573,10 @@
         service_count others;
         for (const caller_exchange& exchange : m_exchanges)
         {
-            if (exchange.sent_at < loss.from + stable_window || exchange.ended_at > loss.to ||
-                exchange.has_disconnected || !is_undisturbed(exchange, exchange.ended_at) ||
-                !has_connected_vm(loss, exchange) ||
+            // Nobody misses the answer to a request that crashes replicas.
+            if (!exchange.deadly_content.empty() || exchange.sent_at < loss.from + stable_window ||
+                exchange.ended_at > loss.to || exchange.has_disconnected ||
+                !is_undisturbed(exchange, exchange.ended_at) || !has_connected_vm(loss, exchange) ||
                 // In an outage of the store VMs with older configurations cannot catch up, and must
                 // not serve the callers of those with newer ones.
                 !m_disturbances.is_undisturbed(store_component, exchange.sent_at - stable_window,
--- a/tests/chaos/gateway_audit.hpp
+++ b/tests/chaos/gateway_audit.hpp
@@ -55,6 +55,9 @@
     disturbance_log::time_point sent_at;
     disturbance_log::time_point ended_at;
     testing_support::caller_answer answer;
+    /// Names a request that crashes the replicas which run it, the same for all its copies; empty
+    /// for others.
+    std::string deadly_content;
     /// The connection had carried a request before.
     bool is_connection_reused = false;
     /// The caller closed its connection before its deadline, without an answer.
@@ -93,6 +96,10 @@
     static constexpr double min_reach_share = 2.0 / 3;
     static constexpr std::size_t reach_slack = 10;
     static constexpr std::size_t reach_slack_divisor = 50;
+    /// Copies of a request that crashes replicas which may still arrive once it has crashed so many
+    /// and the stable window has passed.
+    static constexpr std::size_t crashes_before_stop = 3;
+    static constexpr std::size_t max_deadly_copies = 3;
 
     explicit gateway_audit(disturbance_log& disturbances) : m_disturbances(disturbances) {}
 
@@ -131,6 +138,12 @@
                       const std::vector<standins::request_arrival>& arrivals,
                       const sender_finder& find_sender);
 
+    /// Called after the run with what happened at all replicas: checks that VMs stop to send
+    /// requests that crash replicas.
+    void check_deadly_requests(std::vector<standins::request_crash> crashes,
+                               const std::vector<standins::request_arrival>& arrivals,
+                               const sender_finder& find_sender);
+
     void add_reach_loss(reach_loss loss);
     /// Called after the run: checks that callers of VMs without replicas were served nearly as well
     /// as those of the others.
--- a/tests/chaos/gateway_callers.cpp
+++ b/tests/chaos/gateway_callers.cpp
@@ -6,6 +6,8 @@
 
 #include <fmt/format.h>
 
+#include "base/hash.hpp"
+
 namespace ospreystair::chaos
 {
 
@@ -55,6 +57,7 @@
 {
     for (std::uint64_t number = 0; number < thread_count; ++number)
         m_threads.emplace_back([this, number] { run_requests(number); });
+    m_threads.emplace_back([this] { run_deadly_requests(); });
     m_threads.emplace_back([this] { run_load_balancer(); });
 }
 
@@ -100,6 +103,36 @@
     }
 }
 
+void gateway_callers::run_deadly_requests()
+{
+    constexpr std::uint64_t max_deadly_pause_ms = 300;
+    base::seeded_random random(base::mix_bits(m_seed));
+    for (std::size_t number = 0; !m_is_stopped.load(); ++number)
+    {
+        std::this_thread::sleep_for(
+            milliseconds{static_cast<std::int64_t>(random.below(max_deadly_pause_ms))});
+        caller_exchange exchange;
+        exchange.deadly_content = m_system.deadly_content();
+        if (exchange.deadly_content.empty())
+            continue;
+        // All copies of one content are of one kind.
+        base::seeded_random content_random(base::stable_hash(exchange.deadly_content));
+        exchange.kind = choose_kind(content_random);
+        exchange.id = fmt::format("deadly{}", number);
+        exchange.vm = choose_vm(random);
+        exchange.incarnation = m_system.incarnation(exchange.vm);
+        testing_support::caller_message message = make_message(exchange.kind, exchange.id);
+        if (exchange.kind == request_kind::once)
+            message.body = exchange.deadly_content;
+        else
+            message.path += exchange.deadly_content;
+        exchange.sent_at = steady_clock::now();
+        exchange.answer = m_system.fleet().send(exchange.vm, std::move(message));
+        exchange.ended_at = steady_clock::now();
+        m_audit.add_exchange(exchange);
+    }
+}
+
 void gateway_callers::run_requests(std::uint64_t thread_number)
 {
     base::seeded_random random(m_seed * thread_count + thread_number);
--- a/tests/chaos/gateway_callers.hpp
+++ b/tests/chaos/gateway_callers.hpp
@@ -29,6 +29,8 @@
 
 private:
     void run_requests(std::uint64_t thread_number);
+    // Sends copies of the deadly request, while there is one.
+    void run_deadly_requests();
     void run_load_balancer();
     std::size_t choose_vm(base::seeded_random& random) const;
 
--- a/tests/chaos/gateway_run.cpp
+++ b/tests/chaos/gateway_run.cpp
@@ -35,7 +35,9 @@
                                       "repeats stay within their budget",
                                       "limits of replicas are kept",
                                       "callers of VMs without replicas are served",
-                                      "memory stays bounded"};
+                                      "memory stays bounded",
+                                      "requests that crash replicas are stopped",
+                                      "innocent requests are not refused as deadly"};
 
 std::string service_of(const std::string& replica)
 {
@@ -51,6 +53,8 @@
     std::map<std::string, unsigned> executions;
     std::map<std::string, std::vector<disturbance_log::time_point>> arrivals;
     std::map<std::string, disturbance_log::time_point> work_ends;
+    std::vector<standins::request_crash> crashes;
+    std::vector<standins::request_arrival> all_arrivals;
     for (const auto& [id, target] : system.fleet().replicas())
     {
         for (const auto& [request, count] : target->executions())
@@ -59,10 +63,15 @@
             work_ends[request] = std::max(work_ends[request], ended_at);
         audit.check_announcements(id, target->request_arrivals(), find_sender);
         audit.check_limits(id, target->request_arrivals(), find_sender);
+        const auto replica_crashes = target->request_crashes();
+        crashes.insert(crashes.end(), replica_crashes.begin(), replica_crashes.end());
+        const auto request_arrivals = target->request_arrivals();
+        all_arrivals.insert(all_arrivals.end(), request_arrivals.begin(), request_arrivals.end());
         const auto times = target->arrival_times();
         auto& service_arrivals = arrivals[service_of(id)];
         service_arrivals.insert(service_arrivals.end(), times.begin(), times.end());
     }
+    audit.check_deadly_requests(std::move(crashes), all_arrivals, find_sender);
     audit.check_reach_losses();
     audit.check_executions(executions);
     audit.check_disconnects(work_ends);
--- a/tests/chaos/gateway_system.cpp
+++ b/tests/chaos/gateway_system.cpp
@@ -26,6 +26,8 @@
 constexpr milliseconds stop_timeout{10'000};
 constexpr milliseconds recovery_timeout{20'000};
 constexpr milliseconds slow_reply{300};
+constexpr const char* deadly_prefix = "deadly";
+constexpr milliseconds deadly_restart_delay{1'200};
 constexpr std::uint64_t store_delay_ms = 300;
 // Seconds for which a refusing replica wants no requests; see gateway_audit::closed_time.
 constexpr const char* closed_time = "0.9";
@@ -42,6 +44,8 @@
 {
     replica_behaviour result;
     result.body = behaviour.body;
+    result.crash_text = behaviour.crash_text;
+    result.restart_delay = behaviour.restart_delay;
     return result;
 }
 
@@ -67,6 +71,33 @@
     m_audit.add_generation(std::move(shards), steady_clock::now());
     for (const auto& [id, ignored] : m_fleet.replicas())
         m_replicas.push_back(id);
+    arm_replicas();
+}
+
+void gateway_system::arm_replicas()
+{
+    m_fleet.change_all_replicas(
+        [](replica_behaviour& behaviour)
+        {
+            behaviour.crash_text = deadly_prefix;
+            behaviour.restart_delay = deadly_restart_delay;
+        });
+}
+
+std::string gateway_system::deadly_content() const
+{
+    const std::uint64_t number = m_deadly_number.load();
+    return number == 0 ? std::string() : fmt::format("{}{}", deadly_prefix, number);
+}
+
+// One replica in two, or all but one.
+void gateway_system::crash_replicas(std::uint64_t variant)
+{
+    constexpr milliseconds restart_delay{800};
+    const std::size_t spared = variant / 2 % m_replicas.size();
+    for (std::size_t index = 0; index < m_replicas.size(); ++index)
+        if (variant % 2 == 0 ? (index + variant / 2) % 2 == 0 : index != spared)
+            m_fleet.replica(m_replicas[index]).crash(restart_delay);
 }
 
 gateway_system::~gateway_system()
@@ -119,6 +150,11 @@
                                       });
     case fault_kind::signal_series:
         return send_signal_series(fault);
+    case fault_kind::deadly_requests:
+        m_deadly_number.store(1 + fault.variant);
+        return;
+    case fault_kind::crash_replicas:
+        return crash_replicas(fault.variant);
     }
 }
 
@@ -163,6 +199,10 @@
     case fault_kind::publish_index:
     case fault_kind::race_operators:
     case fault_kind::signal_series:
+    case fault_kind::crash_replicas:
+        return;
+    case fault_kind::deadly_requests:
+        m_deadly_number.store(0);
         return;
     }
 }
@@ -469,6 +509,7 @@
     for (std::size_t shard = 0; shard < shard_count; ++shard)
         for (std::size_t index = 0; index < replica_count; ++index)
             m_fleet.add_replica(fmt::format("index{}x{}", m_generation, shard), index);
+    arm_replicas();
 }
 
 void gateway_system::publish_index()
--- a/tests/chaos/gateway_system.hpp
+++ b/tests/chaos/gateway_system.hpp
@@ -45,6 +45,9 @@
     std::optional<std::size_t> find_sender(const std::string& address) const;
     /// Counts the starts of a VM's process.
     unsigned incarnation(std::size_t vm) const { return m_vms.at(vm).incarnation.load(); }
+    /// The content of the request that crashes replicas and that callers send now; empty when there
+    /// is none.
+    std::string deadly_content() const;
     schedule_options make_schedule_options() const
     {
         return {m_vms.size(), replica_total, pause_factor};
@@ -89,6 +92,9 @@
     void end_limit(const std::string& id);
     void check_memory(std::size_t vm);
     void restore_vm(const scheduled_fault& fault);
+    void crash_replicas(std::uint64_t variant);
+    // Lets all replicas crash under requests with deadly content.
+    void arm_replicas();
     void restart(std::size_t vm);
     void change_store(const scheduled_fault& fault);
     void restore_store(const scheduled_fault& fault);
@@ -109,6 +115,8 @@
     std::vector<vm_state> m_vms;
     // VMs without links to replicas, and since when.
     std::map<std::size_t, disturbance_log::time_point> m_cut_vms;
+    // Number of the deadly content that callers send now; 0 for none.
+    std::atomic<std::uint64_t> m_deadly_number{0};
     std::size_t m_generation = 0;
     std::size_t m_route = 0;
     disturbance_log::time_point m_drained_at{};
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -144,6 +144,8 @@
         m_context, {id, {http::asio::ip::make_address("127.0.0.1"), 0}}, reason);
     ASSERT_TRUE(created) << reason.message;
     m_replicas[id] = *created;
+    (*created)->on_listening([this, id](bool is_listening)
+                             { on_replica_listening(id, is_listening); });
     add_routes(id);
     change_replica(id, [index](standins::replica_behaviour& behaviour)
                    { behaviour.body = fmt::format("0123456789abcde{}", index % 10); });
@@ -192,17 +194,39 @@
                              auto route =
                                  fault_proxy::tcp_route::create(m_context, settings, reason);
                              EXPECT_TRUE(route) << reason.message;
-                             const auto mode = m_route_modes.find(vm);
-                             Json::Value change(Json::objectValue);
-                             change["mode"] = mode == m_route_modes.end() ? "pass" : mode->second;
-                             if (route && (*route)->apply(change, reason))
-                                 m_routes[vm].push_back(*route);
+                             if (!route)
+                                 continue;
+                             m_routes[vm][replica_id] = *route;
+                             apply_route_mode(vm, replica_id);
                          }
                          is_added.set_value();
                      });
     is_added.get_future().wait();
 }
 
+void platform_fleet::apply_route_mode(std::size_t vm, const std::string& replica_id)
+{
+    const auto own_mode = m_route_modes.find(vm);
+    std::string mode = own_mode == m_route_modes.end() ? "pass" : own_mode->second;
+    if (mode == "pass" && m_down_replicas.contains(replica_id))
+        mode = "refuse_new";
+    Json::Value change(Json::objectValue);
+    change["mode"] = mode;
+    base::error reason;
+    EXPECT_TRUE(m_routes[vm][replica_id]->apply(change, reason)) << reason.message;
+}
+
+void platform_fleet::on_replica_listening(const std::string& replica_id, bool is_listening)
+{
+    if (is_listening)
+        m_down_replicas.erase(replica_id);
+    else
+        m_down_replicas.insert(replica_id);
+    for (auto& [vm, routes] : m_routes)
+        if (routes.contains(replica_id))
+            apply_route_mode(vm, replica_id);
+}
+
 void platform_fleet::set_routes(std::size_t vm, const std::string& mode)
 {
     std::promise<void> is_set;
@@ -210,11 +234,8 @@
                      [&]
                      {
                          m_route_modes[vm] = mode;
-                         Json::Value change;
-                         change["mode"] = mode;
-                         base::error reason;
-                         for (const auto& route : m_routes[vm])
-                             EXPECT_TRUE(route->apply(change, reason)) << reason.message;
+                         for (const auto& [id, route] : m_routes[vm])
+                             apply_route_mode(vm, id);
                          is_set.set_value();
                      });
     is_set.get_future().wait();
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <thread>
 #include <vector>
@@ -177,6 +178,9 @@
     void write_settings(gateway_vm& vm) const;
     void add_store_view(std::size_t vm);
     void add_routes(const std::string& replica_id);
+    // Sets the mode of one route. It refuses connections in place of a replica that does.
+    void apply_route_mode(std::size_t vm, const std::string& replica_id);
+    void on_replica_listening(const std::string& replica_id, bool is_listening);
     http::tcp::endpoint endpoint_of(std::size_t vm, unsigned port) const;
     std::string make_id();
 
@@ -194,10 +198,12 @@
     std::vector<gateway_vm> m_vms;
     // Where each VM reaches the store.
     std::vector<http::tcp::endpoint> m_store_addresses;
-    // By VM.
-    std::map<std::size_t, std::vector<std::shared_ptr<fault_proxy::tcp_route>>> m_routes;
+    // By VM and id of the replica. Used by the context's thread, like the next two members.
+    std::map<std::size_t, std::map<std::string, std::shared_ptr<fault_proxy::tcp_route>>> m_routes;
     // Modes of the routes that do not pass, by VM.
     std::map<std::size_t, std::string> m_route_modes;
+    // Replicas that accept no connections.
+    std::set<std::string> m_down_replicas;
     std::thread m_thread;
     unsigned m_last_id = 0;
 };
--- a/tests/unit/routing_crash_test.cpp
+++ b/tests/unit/routing_crash_test.cpp
@@ -148,6 +148,22 @@
     EXPECT_EQ(m_ledger.assess(deadly, m_now + 2s), crash_verdict::clear);
 }
 
+// Guards against a VM without links that makes all others refuse what they answer all the time.
+TEST_F(crash_ledger_test, crashes_before_an_answer_that_this_vm_got_are_not_adopted)
+{
+    crash_ledger other(8);
+    condemn(deadly);
+    other.record_answer(deadly, m_now + 5ms);
+    for (const crash_report& report : m_ledger.take_changes(8))
+        EXPECT_FALSE(other.merge(report, m_now + 10ms));
+    EXPECT_EQ(other.assess(deadly, m_now + 10ms), crash_verdict::clear);
+    // The VM that reported them hears of the answer.
+    const auto answers = other.take_changes(8);
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_TRUE(m_ledger.merge(answers.front(), m_now + 20ms));
+    EXPECT_EQ(m_ledger.assess(deadly, m_now + 20ms), crash_verdict::clear);
+}
+
 // Trials that two VMs hold at the same time are one.
 TEST_F(crash_ledger_test, crashes_on_several_vms_at_the_same_time_are_one_trial)
 {
