Forwarding: Say why a held request was not sent, and check silent queries less often

Cause: requests that wait for the trial of another one with their content ended with an empty reason; queries without any reply looked through all replicas each 50 ms; the table of answered contents took 96 KB of memory that is dear.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -232,7 +232,7 @@
     void check_reach()
     {
         // Hedges that go out later than the first attempts may be silent for long enough soon.
-        constexpr std::chrono::milliseconds silent_check_interval{50};
+        constexpr std::chrono::milliseconds silent_check_interval{100};
         if (m_is_finished)
             return;
         // A request that may have crashed the replicas here must not reach others through other
@@ -251,9 +251,10 @@
     {
         m_has_reply = m_has_reply || shows_execution(result);
         if (!result.has_crashed)
+        {
             m_next_probe_at = std::min(m_next_probe_at, m_dispatcher.now());
-        if (!result.has_crashed)
             return;
+        }
         // A request to one service is repeated at once: one crash is no reason to wait.
         m_may_repeat_at_once = !m_has_crashed && !m_is_suspected && !m_route.is_gather();
         m_has_crashed = true;
@@ -347,6 +348,8 @@
         if (is_cautious() && !may_start_trial())
         {
             item.is_held = true;
+            item.reason =
+                "replicas crashed under the request, and no trial has shown another cause";
             return;
         }
         if (is_cautious() && !has_spare_replica(item))
--- a/source/routing/recent_answers.hpp
+++ b/source/routing/recent_answers.hpp
@@ -18,7 +18,7 @@
 class recent_answers
 {
 public:
-    static constexpr std::size_t slot_count = 4'096;
+    static constexpr std::size_t slot_count = 1'024;
 
     void record(const base::fingerprint& request, base::time_point now)
     {
