--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -425,6 +425,25 @@
     EXPECT_TRUE(fixture.is_done);
 }
 
+// Guards against a query that is sent to the second replica of each shard after the first ones have
+// crashed under it.
+TEST(query_run_test, query_under_which_all_replicas_crash_is_repeated_at_one_replica_only)
+{
+    constexpr std::size_t shard_count = 4;
+    run_fixture fixture(shard_count, 2);
+    fixture.policy.shared->retries_allowed = shard_count;
+    fixture.start();
+    fixture.step();
+    while (!fixture.is_done)
+    {
+        for (const auto& item : fixture.open_attempts())
+            scripted_sender::end(*item, sub_result::unreachable);
+        fixture.step();
+    }
+    EXPECT_LE(fixture.sender.attempts().size(), shard_count + 1);
+    fixture.finish_all();
+}
+
 // Guards against a run that waits for shards beyond its deadline.
 TEST(query_run_test, deadline_ends_the_run_and_cancels_open_attempts)
 {
