Forwarding: Count crashes also while all replicas seem lost

Cause: a VM that had heard of no replica for a while ignored crashes, lest the loss of its links count as some. When a deadly request has crashed all replicas, the VM seems cut off too, and each later copy that it tried would have crashed one more without being noticed.

Change: the exception is gone. Answers that other VMs got refute what a VM without links reports.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -480,8 +480,7 @@
         const base::time_point now = m_clock.now();
         if (shows_execution(result))
             m_crashes.record_answer(ended.fingerprint, now);
-        // A VM that has lost all replicas cannot tell whether they have crashed.
-        if (!result.has_crashed || m_reach_monitor.is_cut_off())
+        if (!result.has_crashed)
             return;
         m_crashes.record_crash(
             ended.fingerprint,
--- a/source/routing/crash_ledger.hpp
+++ b/source/routing/crash_ledger.hpp
@@ -65,10 +65,11 @@
 /// since. Attempts belong to one trial, on whatever VMs, if they may have met the same outage: they
 /// were sent before the first crash of the trial or shortly after. The second trial is sent to one
 /// replica alone, so that a coincidence is unlikely: an outage that spans many replicas makes a
-/// request suspected, but the next replica answers it. An answer of a replica clears a request at
-/// once. /// So do answers that other VMs got: a VM that loses its links may take that for crashes,
-/// while others go on. Crashes that a condemned request explains are not held against others with
-/// fewer crashes that ran on the same replica.
+/// request suspected, but the next replica answers it.
+///
+/// An answer of a replica clears a request at once. So do answers that other VMs got: a VM that
+/// loses its links may take that for crashes, while others go on. Crashes that a condemned request
+/// explains are not held against others with fewer crashes that ran on the same replica.
 ///
 /// Evidence expires. A condemned request may be tried again after a time that grows with the
 /// number of trials, for the replicas may have been repaired. Memory is bounded: when there are too
--- a/tests/unit/forwarding_crash_test.cpp
+++ b/tests/unit/forwarding_crash_test.cpp
@@ -212,6 +212,24 @@
     EXPECT_EQ(send(innocent).kind, answer_kind::gathered);
 }
 
+// Guards against a VM that learns nothing from crashes because it believes that it is cut off.
+TEST_F(crash_test, crashes_count_while_all_replicas_seem_lost)
+{
+    use_service(4);
+    suspect(deadly);
+    for (const auto& [id, each] : m_directory.replicas())
+        m_transport.behaviours[id].is_silent = true;
+    for (int index = 0; index < 4; ++index)
+        submit({}, innocent);
+    run_for(900ms);
+    ASSERT_TRUE(m_dispatcher.update_reach());
+    for (const auto& [id, each] : m_directory.replicas())
+        m_transport.behaviours[id] = {.crashes = true};
+    run_for(2s);
+    send(deadly);
+    EXPECT_EQ(m_dispatcher.assess(deadly), routing::crash_verdict::condemned);
+}
+
 // Guards against a deadly request that a VM hands to others after it has crashed the replicas here.
 TEST_F(crash_test, request_that_crashed_replicas_is_not_offered_to_other_vms)
 {
