--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -295,7 +295,7 @@
         }
     }
 
-    // Call it only when the request has not been sent.
+    // Refuses a request that has not been sent. Returns whether it did.
     bool refuse_if_condemned()
     {
         auto refusal = m_dispatcher.refuse_condemned(m_request.fingerprint, m_request.deadline);
@@ -776,7 +776,7 @@
     bool m_has_crashed = false;
     // Whether a replica has run this one and answered.
     bool m_has_reply = false;
-    // Whether the next attempt need not wait until an outage of several replicas would be over.
+    // Whether the next attempt may be sent although an outage of several replicas may last.
     bool m_may_repeat_at_once = false;
     // Whether the request was not sent to the last replicas that others need.
     bool m_is_trial_refused = false;
