Base: Parse hexadecimal numbers in one place

Cause: base::fingerprint and the messages between VMs each called std::from_chars with base 16 and their own checks.

--- a/source/base/fingerprint.cpp
+++ b/source/base/fingerprint.cpp
@@ -2,12 +2,13 @@
 
 #include "base/fingerprint.hpp"
 
-#include <charconv>
 #include <memory>
 
 #include <fmt/format.h>
 #include <xxhash.h>
 
+#include "base/number.hpp"
+
 namespace ospreystair::base
 {
 
@@ -29,17 +30,13 @@
 std::optional<fingerprint> fingerprint::parse(std::string_view text)
 {
     constexpr std::size_t half_size = 16;
-    constexpr int hexadecimal = 16;
-    fingerprint result;
     if (text.size() != 2 * half_size)
         return std::nullopt;
-    const char* const middle = text.data() + half_size;
-    const char* const end = middle + half_size;
-    const auto high = std::from_chars(text.data(), middle, result.high, hexadecimal);
-    const auto low = std::from_chars(middle, end, result.low, hexadecimal);
-    if (high.ptr != middle || low.ptr != end)
+    const auto high = parse_hexadecimal(text.substr(0, half_size));
+    const auto low = parse_hexadecimal(text.substr(half_size));
+    if (!high || !low)
         return std::nullopt;
-    return result;
+    return fingerprint{*high, *low};
 }
 
 std::string to_string(const fingerprint& value)
--- a/source/base/number.hpp
+++ b/source/base/number.hpp
@@ -5,6 +5,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <cstdint>
 #include <optional>
 #include <string_view>
 #include <system_error>
@@ -24,6 +25,18 @@
     return value;
 }
 
+/// Like `parse_number`, for hexadecimal digits.
+inline std::optional<std::uint64_t> parse_hexadecimal(std::string_view text)
+{
+    constexpr int base = 16;
+    std::uint64_t value = 0;
+    const char* const end = text.data() + text.size();
+    const auto parsed = std::from_chars(text.data(), end, value, base);
+    if (text.empty() || parsed.ec != std::errc{} || parsed.ptr != end)
+        return std::nullopt;
+    return value;
+}
+
 /// Returns the finite number of at least zero that makes up the whole text; empty when it is none.
 inline std::optional<double> parse_amount(std::string_view text)
 {
