Routing: Decide in one place which trial a crash belongs to

Cause: count_trials and drop_surplus of the crash ledger each walked the crashes with the same rule for the start of a trial, and three searches for the same crash stood beside each other.

Change: number_trials and contains, used by all of them.

--- a/source/routing/crash_ledger.cpp
+++ b/source/routing/crash_ledger.cpp
@@ -21,27 +21,45 @@
            std::chrono::abs(left.at - right.at) <= crash_ledger::same_crash_margin;
 }
 
+bool contains(const std::vector<replica_crash>& crashes, const replica_crash& crash)
+{
+    return std::any_of(crashes.begin(), crashes.end(),
+                       [&crash](const replica_crash& other)
+                       { return is_same_crash(other, crash); });
+}
+
 bool is_older(const replica_crash& left, const replica_crash& right)
 {
     return left.at < right.at;
 }
 
-} // namespace
-
-std::size_t crash_ledger::count_trials(const std::vector<replica_crash>& crashes)
+// Returns the number of the trial that each crash belongs to, from 1. The crashes are sorted, the
+// oldest first, so that the numbers never fall.
+std::vector<std::size_t> number_trials(const std::vector<replica_crash>& crashes)
 {
-    std::size_t result = 0;
+    std::vector<std::size_t> result;
+    result.reserve(crashes.size());
+    std::size_t trial = 0;
     base::time_point trial_end{};
     for (const replica_crash& crash : crashes)
     {
-        if (result > 0 && crash.sent_at < trial_end + outage_spread)
-            continue;
-        ++result;
-        trial_end = crash.at;
+        if (trial == 0 || crash.sent_at >= trial_end + crash_ledger::outage_spread)
+        {
+            ++trial;
+            trial_end = crash.at;
+        }
+        result.push_back(trial);
     }
     return result;
 }
 
+} // namespace
+
+std::size_t crash_ledger::count_trials(const std::vector<replica_crash>& crashes)
+{
+    return crashes.empty() ? 0 : number_trials(crashes).back();
+}
+
 bool crash_ledger::is_sufficient(const std::vector<replica_crash>& crashes)
 {
     return crashes.size() >= min_crashes && count_trials(crashes) >= min_trials;
@@ -54,10 +72,7 @@
     {
         const auto& [other_request, entry] = item;
         return other_request != request && entry.crashes.size() > own_count &&
-               is_sufficient(entry.crashes) &&
-               std::any_of(entry.crashes.begin(), entry.crashes.end(),
-                           [&crash](const replica_crash& other)
-                           { return is_same_crash(other, crash); });
+               is_sufficient(entry.crashes) && contains(entry.crashes, crash);
     };
     return std::any_of(m_requests.begin(), m_requests.end(), explains);
 }
@@ -111,31 +126,24 @@
 bool crash_ledger::add_crash(evidence& entry, const replica_crash& crash)
 {
     std::vector<replica_crash>& crashes = entry.crashes;
-    const bool is_known =
-        std::any_of(crashes.begin(), crashes.end(),
-                    [&crash](const replica_crash& other) { return is_same_crash(other, crash); });
-    if (is_known || (entry.answered_at && crash.at <= *entry.answered_at))
+    if (contains(crashes, crash) || (entry.answered_at && crash.at <= *entry.answered_at))
         return false;
     crashes.insert(std::upper_bound(crashes.begin(), crashes.end(), crash, is_older), crash);
     drop_surplus(crashes);
-    return std::any_of(crashes.begin(), crashes.end(),
-                       [&crash](const replica_crash& other)
-                       { return is_same_crash(other, crash); });
+    return contains(crashes, crash);
 }
 
 void crash_ledger::drop_surplus(std::vector<replica_crash>& crashes)
 {
+    const std::vector<std::size_t> trials = number_trials(crashes);
     std::vector<replica_crash> kept;
     std::size_t of_trial = 0;
-    base::time_point trial_end{};
-    for (const replica_crash& crash : crashes)
+    for (std::size_t index = 0; index < crashes.size(); ++index)
     {
-        const bool is_new_trial = kept.empty() || crash.sent_at >= trial_end + outage_spread;
-        of_trial = is_new_trial ? 1 : of_trial + 1;
-        if (is_new_trial)
-            trial_end = crash.at;
+        const bool is_same_trial = index > 0 && trials[index] == trials[index - 1];
+        of_trial = is_same_trial ? of_trial + 1 : 1;
         if (of_trial <= max_crashes_per_trial)
-            kept.push_back(crash);
+            kept.push_back(crashes[index]);
     }
     if (kept.size() > max_crashes)
         kept.erase(kept.begin(), kept.end() - max_crashes);
