--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -83,8 +83,7 @@
         m_open_parts = m_parts.size();
         if (refuse_if_condemned())
             return;
-        m_is_suspected =
-            m_dispatcher.assess(m_request.fingerprint) == routing::crash_verdict::suspected;
+        update_suspicion();
         if (refuse_if_unservable(services))
             return;
         schedule_timers();
@@ -125,8 +124,7 @@
     {
         if (m_is_finished)
             return;
-        m_is_suspected =
-            m_dispatcher.assess(m_request.fingerprint) != routing::crash_verdict::clear;
+        update_suspicion();
         resume_held_parts();
         finish_if_decided();
     }
@@ -243,6 +241,12 @@
             action();
     }
 
+    void update_suspicion()
+    {
+        m_is_suspected =
+            m_dispatcher.assess(m_request.fingerprint) != routing::crash_verdict::clear;
+    }
+
     // While replicas have crashed under requests with this content and none has answered, one
     // attempt at a time is sent, by one request at a time.
     bool is_cautious() const { return !m_has_reply && (m_is_suspected || m_has_crashed); }
@@ -311,10 +315,8 @@
         const auto counts = m_dispatcher.count_replicas(item.service);
         if (counts.live > 1 || counts.down == 0)
             return true;
-        std::vector<std::string> services;
-        for (const query_part& each : m_parts)
-            services.push_back(each.service);
-        return m_dispatcher.find_servable(services).count > required_parts();
+        return m_route.is_gather() &&
+               m_dispatcher.find_servable(m_route.shards).count > required_parts();
     }
 
     bool may_start_trial()
@@ -499,15 +501,16 @@
                 arm_hedge_timer(*item.hedge_at);
     }
 
-    // While no replica has answered any part of a query, the query itself may be the cause, and
-    // hedges of all parts would take it to all other replicas. One at a time tells whether they
-    // answer.
+    // Time between the hedges of a query that no replica has answered.
     base::duration probe_interval() const
     {
         constexpr int divisor = 3;
         return std::max<base::duration>(m_baseline.overdue_after, m_route.objective / divisor);
     }
 
+    // While no replica has answered any part of a query, the query itself may be the cause, and
+    // hedges of all parts would take it to all other replicas. One at a time tells whether they
+    // answer.
     bool may_hedge(base::time_point now) const
     {
         const bool is_single = m_parts.size() == 1 && !is_cautious();
