Gateway tests: Warm a VM up in one place

Cause: three tests waited for the same log line and sent the same ten requests, each with the size of its fleet in the text.

Change: platform_fleet::warm_up, which knows the size.

--- a/tests/gateway/gateway_handover_test.cpp
+++ b/tests/gateway/gateway_handover_test.cpp
@@ -27,12 +27,7 @@
     gateway_handover_test()
     {
         for (std::size_t vm = 0; vm < vm_count; ++vm)
-        {
-            EXPECT_TRUE(wait_until(
-                10s, [&] { return m_fleet.log(vm).find("\"vms\":4,") != std::string::npos; }));
-            for (int index = 0; index < 10; ++index)
-                m_fleet.send(vm, {});
-        }
+            m_fleet.warm_up(vm);
     }
 
     void cut(std::size_t vm)
--- a/tests/gateway/gateway_version_test.cpp
+++ b/tests/gateway/gateway_version_test.cpp
@@ -40,7 +40,7 @@
                                       .program = old_gateway(),
                                       .has_routes = true});
         for (std::size_t vm = 0; vm < vm_count; ++vm)
-            wait_for_vms(vm);
+            m_fleet->warm_up(vm);
         m_fleet->change_all_replicas(
             [](auto& behaviour)
             {
@@ -50,14 +50,6 @@
             });
     }
 
-    void wait_for_vms(std::size_t vm)
-    {
-        EXPECT_TRUE(wait_until(
-            10s, [&] { return m_fleet->log(vm).find("\"vms\":4,") != std::string::npos; }));
-        for (int index = 0; index < 10; ++index)
-            m_fleet->send(vm, {});
-    }
-
     /// Stops the VM's process gracefully and starts this build in its place.
     void upgrade(std::size_t vm)
     {
@@ -66,7 +58,7 @@
         m_fleet->vm(vm).program = OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway";
         m_fleet->start(vm);
         EXPECT_TRUE(m_fleet->wait_until_ready(vm));
-        wait_for_vms(vm);
+        m_fleet->warm_up(vm);
     }
 
     unsigned count_failures(std::size_t vm, const std::string& path = "/all/q")
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -391,6 +391,16 @@
     return http::make_endpoint(m_vms.at(vm).ip, static_cast<std::uint16_t>(port));
 }
 
+void platform_fleet::warm_up(std::size_t vm)
+{
+    constexpr int requests = 10;
+    const std::string listed = fmt::format("\"vms\":{},", m_options.vms);
+    EXPECT_TRUE(
+        wait_until(start_timeout, [&] { return log(vm).find(listed) != std::string::npos; }));
+    for (int index = 0; index < requests; ++index)
+        send(vm, {});
+}
+
 bool platform_fleet::wait_until_ready(std::size_t vm)
 {
     constexpr unsigned ok = 200;
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -159,6 +159,9 @@
 
     void start(std::size_t vm);
     bool wait_until_ready(std::size_t vm);
+    /// Waits until the VM knows all others, and sends it requests that give it latencies and
+    /// connections.
+    void warm_up(std::size_t vm);
     unsigned readiness(std::size_t vm);
     std::string metrics(std::size_t vm);
     /// Sends on a new connection.
