--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -19,6 +19,7 @@
 
 #include "base/fingerprint.hpp"
 #include "forwarding/answer.hpp"
+#include "forwarding/crash_caution.hpp"
 #include "forwarding/query_part.hpp"
 #include "forwarding/reach_monitor.hpp"
 #include "forwarding/route_table.hpp"
@@ -71,7 +72,7 @@
           m_deadline_budget(dispatcher.now(), std::min(m_request.deadline, rule.timeout)),
           m_started_at(dispatcher.now()), m_answer_at(compute_answer_time()),
           m_straggler_rule(m_started_at, m_baseline, rule.objective),
-          m_next_probe_at(m_started_at + probe_interval())
+          m_caution(rule.is_gather(), compute_probe_interval(), m_started_at)
     {
     }
 
@@ -106,7 +107,7 @@
         m_straggler_rule.record_completion(m_dispatcher.now());
         if (may_have_run(result.outcome))
             m_may_have_run = true;
-        record_evidence(result);
+        m_caution.record(result, m_dispatcher.now());
         m_dispatcher.report_attempt(*this, owner.service, ended, result);
         if (result.outcome == attempt_outcome::succeeded ||
             (result.outcome == attempt_outcome::failed && is_final_failure(result)))
@@ -235,38 +236,22 @@
             return;
         // A request that may have crashed the replicas here must not reach others through other
         // VMs.
-        if (m_answered >= required_parts() || is_cautious() || !m_dispatcher.update_reach())
-            return schedule_reach_check(m_has_reply ? reach_check_delay : silent_check_interval);
+        if (m_answered >= required_parts() || m_caution.is_needed() || !m_dispatcher.update_reach())
+            return schedule_reach_check(m_caution.has_reply() ? reach_check_delay
+                                                              : silent_check_interval);
         if (const auto action = std::exchange(m_on_reach_lost, nullptr))
             action();
     }
 
     void update_suspicion()
     {
-        m_is_suspected =
-            m_dispatcher.assess(m_request.fingerprint) != routing::crash_verdict::clear;
-    }
-
-    // While replicas have crashed under requests with this content and none has answered, one
-    // attempt at a time is sent, by one request at a time.
-    bool is_cautious() const { return !m_has_reply && (m_is_suspected || m_has_crashed); }
-
-    void record_evidence(const attempt_result& result)
-    {
-        m_has_reply = m_has_reply || shows_execution(result);
-        if (!result.has_crashed)
-        {
-            m_next_probe_at = std::min(m_next_probe_at, m_dispatcher.now());
-            return;
-        }
-        // A request to one service is repeated at once: one crash is no reason to wait.
-        m_may_repeat_at_once = !m_has_crashed && !m_is_suspected && !m_route.is_gather();
-        m_has_crashed = true;
+        m_caution.set_suspected(m_dispatcher.assess(m_request.fingerprint) !=
+                                routing::crash_verdict::clear);
     }
 
     bool is_condemned() const
     {
-        return is_cautious() &&
+        return m_caution.is_needed() &&
                m_dispatcher.assess(m_request.fingerprint) == routing::crash_verdict::condemned;
     }
 
@@ -284,7 +269,8 @@
                                              [](const query_part& item) { return item.is_held; });
         if (!is_any_held)
             return;
-        if (is_cautious() && !m_may_have_run && !has_open_attempt() && refuse_if_condemned())
+        if (m_caution.is_needed() && !m_may_have_run && !has_open_attempt() &&
+            refuse_if_condemned())
             return;
         for (std::size_t index = 0; index < m_parts.size() && !m_is_finished; ++index)
         {
@@ -322,7 +308,7 @@
     bool may_start_trial()
     {
         const base::time_point at = m_dispatcher.next_trial_at(m_request.fingerprint);
-        if (!std::exchange(m_may_repeat_at_once, false) && m_dispatcher.now() < at)
+        if (!m_caution.take_repeat_at_once() && m_dispatcher.now() < at)
         {
             arm_trial_timer(at);
             return false;
@@ -347,14 +333,14 @@
         query_part& item = m_parts[index];
         if (is_condemned())
             return fail_part(item, "replicas crash under the request");
-        if (is_cautious() && !may_start_trial())
+        if (m_caution.is_needed() && !may_start_trial())
         {
             item.is_held = true;
             item.reason =
                 "replicas crashed under the request, and no trial has shown another cause";
             return;
         }
-        if (is_cautious() && !has_spare_replica(item))
+        if (m_caution.is_needed() && !has_spare_replica(item))
         {
             m_is_trial_refused = true;
             return fail_part(item,
@@ -474,7 +460,7 @@
     void hedge_due_parts()
     {
         const base::time_point now = m_dispatcher.now();
-        if (m_has_crashed && !m_has_reply)
+        if (m_caution.has_only_crashed())
         {
             m_is_hedge_postponed = true;
             return;
@@ -489,10 +475,10 @@
             const query_part& item = m_parts[index];
             if (item.state != part_state::open || !item.hedge_at || *item.hedge_at > now)
                 continue;
-            if (!may_hedge(now))
+            if (!m_caution.may_hedge(m_parts.size() == 1, now))
             {
                 m_is_hedge_postponed = true;
-                return arm_hedge_timer(m_next_probe_at);
+                return arm_hedge_timer(m_caution.next_probe_at());
             }
             hedge(index);
         }
@@ -501,22 +487,12 @@
                 arm_hedge_timer(*item.hedge_at);
     }
 
-    // Time between the hedges of a query that no replica has answered.
-    base::duration probe_interval() const
+    base::duration compute_probe_interval() const
     {
         constexpr int divisor = 3;
         return std::max<base::duration>(m_baseline.overdue_after, m_route.objective / divisor);
     }
 
-    // While no replica has answered any part of a query, the query itself may be the cause, and
-    // hedges of all parts would take it to all other replicas. One at a time tells whether they
-    // answer.
-    bool may_hedge(base::time_point now) const
-    {
-        const bool is_single = m_parts.size() == 1 && !is_cautious();
-        return m_has_reply || is_single || now >= m_next_probe_at;
-    }
-
     // Sends the part to a second replica when the reply of the first one is overdue.
     void hedge(std::size_t index)
     {
@@ -542,7 +518,7 @@
         }
         m_dispatcher.report_hedge(*this, item.service, *choice.target,
                                   m_straggler_rule.hedge_delay(m_parts.size()));
-        m_next_probe_at = now + probe_interval();
+        m_caution.record_hedge(now);
         send(index, choice.target, true);
     }
 
@@ -763,8 +739,7 @@
     // When a gathered query is answered with the parts available, if they are enough.
     const base::time_point m_answer_at;
     straggler_rule m_straggler_rule;
-    // When a query that no replica has answered may be hedged again.
-    base::time_point m_next_probe_at;
+    crash_caution m_caution;
     std::vector<query_part> m_parts;
     std::vector<std::shared_ptr<attempt_type>> m_attempts;
     // Invariant: m_open_parts and m_answered count the parts in these states.
@@ -773,14 +748,6 @@
     // Replicas to which no byte of the request could be sent.
     std::vector<std::shared_ptr<replica>> m_unreached;
     bool m_may_have_run = false;
-    // Whether replicas crashed under earlier requests with the same content.
-    bool m_is_suspected = false;
-    // Whether a replica crashed under this one.
-    bool m_has_crashed = false;
-    // Whether a replica has run this one and answered.
-    bool m_has_reply = false;
-    // Whether the next attempt may be sent although an outage of several replicas may last.
-    bool m_may_repeat_at_once = false;
     // Whether the request was not sent to the last replicas that others need.
     bool m_is_trial_refused = false;
     bool m_is_finished = false;
