Teams: Read teams, cold limits and home regions from the configuration

Cause: two new customers' configurations name teams with keys and quotas, requests that cold replicas accept, and home regions; the decoder ignored all of it, so that the parts that serve them had nothing to build on.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -27,6 +27,7 @@
 #include "forwarding/timer_queue.hpp"
 #include "routing/crash_ledger.hpp"
 #include "routing/deadline_budget.hpp"
+#include "teams/team.hpp"
 
 namespace ospreystair::forwarding
 {
@@ -37,6 +38,8 @@
 {
     std::string id;
     std::shared_ptr<const Message> message;
+    /// The caller's team; null without teams and on public routes.
+    std::shared_ptr<const teams::team> team;
     /// Recognises requests with the same content.
     base::fingerprint fingerprint;
     /// How long the caller waits, counted from the arrival of the request.
@@ -155,7 +158,11 @@
     const route& rule() const { return m_route; }
     std::uint64_t version() const { return m_table->version(); }
     bool is_finished() const { return m_is_finished; }
-    int priority() const { return m_route.priority; }
+    int priority() const
+    {
+        return m_request.team ? m_request.team->priority.value_or(m_route.priority)
+                              : m_route.priority;
+    }
 
 private:
     void end(answer_kind kind, std::string reason, bool is_out_of_reach = false)
--- a/source/forwarding/route_table.hpp
+++ b/source/forwarding/route_table.hpp
@@ -7,12 +7,15 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "base/error.hpp"
+#include "teams/team_directory.hpp"
 
 namespace ospreystair::forwarding
 {
@@ -51,6 +54,10 @@
     std::size_t max_records = 0;
     /// Minimum fraction of the shards, 0 to 1, that an answer must cover.
     double min_coverage = 1;
+    /// Whether callers need no key although the configuration has teams.
+    bool is_public = false;
+    /// Regions in which requests may be processed; empty for all.
+    std::vector<std::string> home_regions;
 
     bool is_gather() const { return !shards.empty(); }
     /// Minimum number of parts that an answer must cover: of the shards, or 1 without any.
@@ -63,6 +70,10 @@
     std::string name;
     /// Number of connections that one replica accepts from all VMs together.
     std::uint32_t max_connections = 1;
+    /// How long a replica stays cold after its start.
+    std::chrono::milliseconds warm_up_time{0};
+    /// Requests a second that a cold replica accepts from all VMs together; 0 for no limit.
+    double warm_up_requests_per_second = 0;
 };
 
 /// Limits on requests from callers and on the time that callers may take to send them.
@@ -87,10 +98,18 @@
                                              std::vector<service_limits> services,
                                              caller_limits limits, base::error& reason);
 
+    /// Sets the teams whose callers identify themselves by keys.
+    void set_teams(std::shared_ptr<const teams::team_directory> teams)
+    {
+        m_teams = std::move(teams);
+    }
+
     std::uint64_t version() const { return m_version; }
     const std::vector<route>& routes() const { return m_routes; }
     const std::vector<service_limits>& services() const { return m_services; }
     const caller_limits& limits() const { return m_limits; }
+    /// Null when the configuration has no teams, so that callers need no key.
+    const std::shared_ptr<const teams::team_directory>& known_teams() const { return m_teams; }
 
     /// Returns the route with the longest prefix of `path` among those of `host`, or null. `host`
     /// may have upper-case letters and a port; a query string in `path` is ignored.
@@ -105,6 +124,7 @@
     std::vector<route> m_routes;
     std::vector<service_limits> m_services;
     caller_limits m_limits;
+    std::shared_ptr<const teams::team_directory> m_teams;
     // Indexes into m_routes by host, longest prefix first.
     std::map<std::string, std::vector<std::size_t>, std::less<>> m_routes_of_host;
 };
--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -57,6 +57,28 @@
     EXPECT_TRUE(first->is_first_start);
 }
 
+// Guards against optional bounds that are taken for given when the settings do not name them.
+TEST(vm_settings_test, bounds_of_zones_and_teams_are_optional)
+{
+    base::error reason;
+    const auto plain = vm_settings::parse(settings_text, reason);
+    ASSERT_TRUE(plain) << reason.message;
+    EXPECT_FALSE(plain->evacuation_time);
+    std::string text = settings_text;
+    text.insert(text.find("drainMs"), "evacuateMs = 4000\nwarmupOver = 1.5\nwarmupSlack = 5\n"
+                                      "quotaWindowS = 4\nquotaOver = 0.1\nquotaSlack = 20\n");
+    text += "[zones]\na = \"north\"\nb = \"south\"\n";
+    const auto full = vm_settings::parse(text, reason);
+    ASSERT_TRUE(full) << reason.message;
+    EXPECT_EQ(full->evacuation_time, 4000ms);
+    EXPECT_DOUBLE_EQ(full->warm_up_factor, 1.5);
+    EXPECT_DOUBLE_EQ(full->warm_up_slack, 5);
+    EXPECT_EQ(full->quota_window, 4000ms);
+    EXPECT_DOUBLE_EQ(full->quota_excess, 0.1);
+    EXPECT_DOUBLE_EQ(full->quota_slack, 20);
+    EXPECT_EQ(full->regions.at("b"), "south");
+}
+
 // Guards against a reload that misses a change when only one of these bounds differs.
 TEST(vm_settings_test, settings_with_another_bound_differ)
 {
@@ -124,6 +146,36 @@
     EXPECT_EQ(table->limits().body_bytes, 2000U);
 }
 
+// Guards against teams, cold limits and home regions that are lost in decoding.
+TEST(configuration_decoder_test, teams_and_cold_limits_are_decoded)
+{
+    base::error reason;
+    const auto table = decode_configuration(parse(R"({"version":9,"routes":[
+        {"name":"o","host":"h.example","pathPrefix":"/o/","type":"idempotent","timeoutMs":500,
+         "sloMs":50,"service":"a","public":true,"allowedRegions":["north"]}],
+        "services":[{"name":"a","maxConns":26,"warmupS":3.5,"warmupPerS":0.5}],
+        "tenants":[{"name":"t1","apiKeys":["k1","k2"],"priority":1,"ratePerS":18,"burst":9,
+                    "allowedRegions":["north","south"]},
+                   {"name":"t2","apiKeys":["k3"]}]})"),
+                                            reason);
+    ASSERT_TRUE(table) << reason.message;
+    const auto* route = table->find_route("h.example", "/o/");
+    EXPECT_TRUE(route->is_public);
+    EXPECT_EQ(route->home_regions, std::vector<std::string>{"north"});
+    EXPECT_EQ(table->services().at(0).warm_up_time, 3'500ms);
+    EXPECT_DOUBLE_EQ(table->services().at(0).warm_up_requests_per_second, 0.5);
+    ASSERT_TRUE(table->known_teams());
+    const auto team = table->known_teams()->find("k2");
+    ASSERT_TRUE(team);
+    EXPECT_EQ(team->name, "t1");
+    EXPECT_EQ(team->priority, 1);
+    EXPECT_DOUBLE_EQ(team->quota.requests_per_second, 18);
+    EXPECT_DOUBLE_EQ(team->quota.burst, 9);
+    EXPECT_EQ(team->home_regions.size(), 2U);
+    EXPECT_FALSE(table->known_teams()->find("k3")->quota.is_limited());
+    EXPECT_FALSE(table->known_teams()->find("k3")->priority);
+}
+
 // Guards against a malformed configuration that is used in part.
 TEST(configuration_decoder_test, wrong_type_refuses_the_whole_configuration)
 {
@@ -136,7 +188,11 @@
           R"({"version":1,"routes":[{"name":"x","host":"h","pathPrefix":"/","type":"idempotent",
              "timeoutMs":true,"sloMs":1,"service":"s"}]})",
           R"({"version":1,"routes":[{"name":"x","host":"h","pathPrefix":"/","type":"idempotent",
-             "timeoutMs":1,"sloMs":1,"gather":["s",1]}]})"})
+             "timeoutMs":1,"sloMs":1,"gather":["s",1]}]})",
+          R"({"version":1,"tenants":{}})",
+          R"({"version":1,"tenants":[{"name":"t","apiKeys":["k"],"ratePerS":-1}]})",
+          R"({"version":1,"tenants":[{"name":"t","apiKeys":"k"}]})",
+          R"({"version":1,"tenants":[{"name":"t","apiKeys":["k"]},{"name":"u","apiKeys":["k"]}]})"})
         EXPECT_FALSE(decode_configuration(parse(text), reason)) << text;
 }
 
