Query: Repeat a query under which upstreams were lost at one replica first

Cause: query_run retried each shard on its own. Change: `query/repeat_guard`. While replicas were lost under a query and none has answered, one repeat goes out alone; an answer to it frees the others, a second loss condemns the query.

--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -17,6 +17,7 @@
 #include "http/asio.hpp"
 #include "query/gathered_answers.hpp"
 #include "query/pinned_snapshot.hpp"
+#include "query/repeat_guard.hpp"
 #include "query/request_record.hpp"
 #include "query/sub_request.hpp"
 
@@ -147,6 +148,8 @@
         }
         std::vector<std::string> tried;
         std::vector<std::shared_ptr<attempt>> active;
+        // The reply after which the shard waits until it may be repeated.
+        std::optional<sub_reply> held_after;
         // Cancelled when an attempt ends, which wakes follow_attempts().
         http::asio::steady_timer attempt_ended;
     };
@@ -212,7 +215,7 @@
         const base::time_point sent_at = m_clock.now();
         std::uint32_t hedge_count = 0;
         bool may_hedge = true;
-        while (!state->active.empty() && !m_is_stopped)
+        while ((!state->active.empty() || state->held_after) && !m_is_stopped)
         {
             const auto delay =
                 may_hedge ? m_policy.hedge_delay(sent_at, hedge_count) : std::nullopt;
@@ -224,6 +227,7 @@
                 http::asio::redirect_error(http::asio::use_awaitable, code));
             if (m_is_stopped || collect_replies(index, state) || m_clock.now() >= m_task.deadline)
                 co_return;
+            resume_held(index, state);
             if (m_clock.now() < hedge_time)
                 continue;
             may_hedge = start_hedge(index, state, sent_at, hedge_count);
@@ -254,9 +258,26 @@
         return false;
     }
 
+    // Sends the repeat for which the shard waits, or gives it up.
+    void resume_held(std::size_t index, const std::shared_ptr<shard_state>& state)
+    {
+        if (!state->held_after || (!m_guard.may_repeat() && !m_guard.is_condemned()))
+            return;
+        const sub_reply reply = std::move(*state->held_after);
+        state->held_after.reset();
+        start_retry(index, state, reply);
+    }
+
     void start_retry(std::size_t index, const std::shared_ptr<shard_state>& state,
                      const sub_reply& reply)
     {
+        if (m_guard.is_condemned())
+            return;
+        if (!m_guard.may_repeat())
+        {
+            state->held_after = reply;
+            return;
+        }
         if (m_policy.allow_retry(*m_task.snapshot.shard_at(index), state->tried, reply))
             start_attempt(index, state, attempt_kind::retry, std::string(to_string(reply.result)));
     }
@@ -265,7 +286,8 @@
     bool start_hedge(std::size_t index, const std::shared_ptr<shard_state>& state,
                      base::time_point sent_at, std::uint32_t hedge_count)
     {
-        return m_policy.allow_hedge(*m_task.snapshot.shard_at(index), state->tried, sent_at,
+        return m_guard.may_repeat() &&
+               m_policy.allow_hedge(*m_task.snapshot.shard_at(index), state->tried, sent_at,
                                     hedge_count) &&
                start_attempt(index, state, attempt_kind::hedge,
                              "slower than the learnt percentile");
@@ -290,6 +312,9 @@
                 m_answers.add_failure(index, sub_result::no_replica);
             return false;
         }
+        if (kind != attempt_kind::first)
+            m_guard.record_repeat();
+        m_guard.record_sent();
         state->tried.push_back(target->name);
         m_attempts.push_back({shard_name(index),
                               target->name,
@@ -339,8 +364,17 @@
         item->record->result = reply.result;
         item->record->error = reply.reason.message;
         item->record->is_finished = true;
+        m_guard.record_end(reply);
         item->reply = std::move(reply);
         state->attempt_ended.cancel();
+        wake_held_shards();
+    }
+
+    void wake_held_shards()
+    {
+        for (const auto& state : m_shards)
+            if (state->held_after)
+                state->attempt_ended.cancel();
     }
 
     void stop_attempts()
@@ -364,6 +398,7 @@
     const Clock& m_clock;
     const task m_task;
     gathered_answers m_answers;
+    repeat_guard m_guard;
     // A list, so that pointers to its elements stay valid.
     std::list<attempt_record> m_attempts;
     std::vector<std::shared_ptr<shard_state>> m_shards;
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -444,6 +444,28 @@
     fixture.finish_all();
 }
 
+// Guards against an innocent query that loses all shards whose replicas an outage took.
+TEST(query_run_test, query_whose_lone_repeat_is_answered_repeats_the_other_shards_too)
+{
+    constexpr std::size_t shard_count = 4;
+    run_fixture fixture(shard_count, 2);
+    fixture.policy.shared->retries_allowed = shard_count;
+    fixture.start();
+    fixture.step();
+    for (const auto& item : fixture.open_attempts())
+        scripted_sender::end(*item, sub_result::unreachable);
+    fixture.step();
+    ASSERT_EQ(fixture.open_attempts().size(), 1U);
+    scripted_sender::end(*fixture.open_attempts().front(), sub_result::answered);
+    fixture.step();
+    ASSERT_EQ(fixture.open_attempts().size(), shard_count - 1);
+    for (const auto& item : fixture.open_attempts())
+        scripted_sender::end(*item, sub_result::answered);
+    fixture.step();
+    EXPECT_TRUE(fixture.is_done);
+    EXPECT_TRUE(fixture.run->answers().is_complete());
+}
+
 // Guards against a run that waits for shards beyond its deadline.
 TEST(query_run_test, deadline_ends_the_run_and_cancels_open_attempts)
 {
