Platform: Identify callers by their keys and name their team to replicas

Cause: a configuration with teams gives each caller a key. The key and a team that the caller names itself are removed, replicas get the team's name, and the fingerprint holds the team in place of the key.

--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -241,6 +241,29 @@
     return received;
 }
 
+// Guards against keys that leave this VM, and against a team that the caller chooses itself.
+TEST(forwarded_message_test, caller_is_replaced_by_its_team_however_it_names_itself)
+{
+    http::request received = make_caller_request();
+    received.insert("Credential", "secret");
+    received.insert("CREDENTIAL", "secret2");
+    received.insert("tenant", "forged");
+    received.insert("Handover-Team", "forged");
+    base::error reason;
+    auto message = forwarded_message::create(received, reason);
+    ASSERT_TRUE(message) << reason.message;
+    const base::fingerprint without_team = message->fingerprint;
+    message->set_team(received, "real");
+    EXPECT_EQ(message->head->find("secret"), std::string::npos);
+    EXPECT_EQ(message->head->find("forged"), std::string::npos);
+    EXPECT_NE(message->head->find("Tenant: real\r\n"), std::string::npos);
+    EXPECT_NE(message->fingerprint, without_team);
+    EXPECT_EQ(find_caller_key(received), "");
+    const auto handed_over = make_handover_request(*message, "vm1", 7, 100ms);
+    EXPECT_NE(handed_over.attempt_head.find("Handover-Team: real\r\n"), std::string::npos);
+    EXPECT_EQ(handed_over.attempt_head.find("secret"), std::string::npos);
+}
+
 // Guards against hop-by-hop fields that are passed on, and against a request with two deadlines.
 TEST(forwarded_message_test, only_end_to_end_fields_are_passed_on)
 {
