Gateway: Let VMs with more processor time gather queries over many shards

Cause: a query over 90 to 135 shards costs the VM that gathers it 7 to 10 ms of a core. A VM with 0.084 of a core needs about 100 ms for that, of an objective of 60 to 200 ms, while others of its data centre have 0.5 of a core and few queries of their own. Change: `forwarding/gather_placement` compares the expected processing time here with that of the larger VMs of the data centre, which report their load with each answer; the query goes there as a handover, on connections that are kept (`platform/peer_links`). A VM's entry in the list of VMs states its share of a core; VMs of earlier versions state none and gather for themselves. A gatherer that refuses, stops or falls silent leaves the query to the VM that it came to; one that breaks off after it took the query makes it fail, since its parts may have run. Equal VMs change nothing.

--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -101,6 +101,8 @@
     std::string program = OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway";
     /// Gives each VM its own routes to the replicas, which `set_routes` cuts.
     bool has_routes = false;
+    /// Share of a core that each VM may use, by its settings; unknown for VMs beyond the list.
+    std::vector<double> core_shares = {};
 };
 
 /// Starts all parts on construction and ends its processes on destruction. The routes of host
