Gateway: Give the VMs that gather queries the connections and repeats for them

Cause: connections to replicas and the slack for repeats are divided over all VMs. With six gatherers among 144 VMs a gatherer held one connection to two replicas of three, so that parts waited for it, and a 144th of the slack, while the others kept theirs idle. Gatherers share most of the slack for shards (`count_slack_sharers`); the shares of all VMs stay within it. Chance no longer sends a request to another data centre. Fleets of equal VMs keep their plan.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -89,11 +90,18 @@
     {
         m_table = std::move(table);
         m_splits.clear();
+        m_shards = m_table->shard_services();
     }
 
     const std::shared_ptr<const route_table>& table() const { return m_table; }
     /// Sets this VM's place among the VMs that share the limits.
     void set_fleet_position(const routing::fleet_position& position) { m_position = position; }
+    /// Sets how many of the VMs gather the queries over many shards, and whether this one does.
+    void set_gatherers(std::size_t count, bool is_gatherer)
+    {
+        m_gatherer_count = count;
+        m_is_gatherer = is_gatherer;
+    }
     void set_repeat_limits(const repeat_limits& limits) { m_settings.repeats = limits; }
 
     /// Starts a request on a route of `table()`. `on_answer` is called exactly once, possibly
@@ -349,7 +357,7 @@
     bool may_repeat(const std::string& service)
     {
         return budget_of(service).allows_repeat(m_clock.now(), m_settings.repeats,
-                                                m_position.vm_count);
+                                                count_sharers(service));
     }
     void record_repeat(const std::string& service)
     {
@@ -434,18 +442,27 @@
     base::duration estimate_cost(const replica& candidate, connection_availability availability,
                                  base::time_point now, const latency_baseline& baseline)
     {
-        const double jitter = 1 + cost_jitter * choose_fraction();
+        const bool is_remote = candidate.registry_entry().data_centre != m_settings.data_centre;
+        // Chance alone must not send a request to another data centre.
+        const double jitter = 1 + cost_jitter * (choose_fraction() + (is_remote ? 1 : 0));
         base::duration result = std::chrono::duration_cast<base::duration>(
             candidate.expected_time(now, baseline) * jitter);
         if (availability == connection_availability::new_connection)
             result += connect_time;
-        if (candidate.registry_entry().data_centre != m_settings.data_centre)
+        if (is_remote)
             result += remote_cost;
         if (candidate.is_suspect(now, baseline))
             result += suspect_cost;
         return result;
     }
 
+    // Gatherers send most of the requests to shards only.
+    std::size_t count_sharers(const std::string& service) const
+    {
+        return count_slack_sharers(
+            m_position.vm_count, m_shards.contains(service) ? m_gatherer_count : 0, m_is_gatherer);
+    }
+
     repeat_budget& budget_of(const std::string& service)
     {
         const auto found = m_budgets.find(service);
@@ -620,6 +637,10 @@
     isolation_monitor m_isolation_monitor;
     reach_monitor m_reach_monitor;
     routing::fleet_position m_position;
+    std::size_t m_gatherer_count = 0;
+    bool m_is_gatherer = false;
+    // Services that are only used as shards of queries.
+    std::set<std::string> m_shards;
     // By route name.
     std::map<std::string, std::shared_ptr<route_knowledge>> m_statistics;
     std::map<std::string, traffic_split> m_splits;
--- a/source/forwarding/gather_placement.cpp
+++ b/source/forwarding/gather_placement.cpp
@@ -17,14 +17,33 @@
 
 } // namespace
 
+std::set<std::string> find_gatherers(const std::vector<gatherer>& vms)
+{
+    constexpr double min_ratio = 2;
+    std::map<std::string, double> smallest;
+    for (const gatherer& item : vms)
+    {
+        if (item.core_share <= 0)
+            continue;
+        const auto known = smallest.try_emplace(item.data_centre, item.core_share).first;
+        known->second = std::min(known->second, item.core_share);
+    }
+    std::set<std::string> result;
+    for (const gatherer& item : vms)
+        if (item.core_share > 0 && item.core_share >= min_ratio * smallest[item.data_centre])
+            result.insert(item.vm);
+    return result;
+}
+
 void gather_placement::adopt(const gatherer& own, const std::vector<gatherer>& vms)
 {
     m_own_share = own.core_share;
+    const std::set<std::string> gatherers = find_gatherers(vms);
     std::map<std::string, candidate> adopted;
     for (const gatherer& item : vms)
     {
         if (item.vm == own.vm || item.data_centre != own.data_centre || own.core_share <= 0 ||
-            item.core_share <= own.core_share)
+            item.core_share <= own.core_share || !gatherers.contains(item.vm))
             continue;
         const auto known = m_candidates.find(item.vm);
         candidate& entry = adopted[item.vm];
--- a/source/forwarding/gather_placement.hpp
+++ b/source/forwarding/gather_placement.hpp
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -29,6 +30,10 @@
     double core_share = 0;
 };
 
+/// Returns the VMs that gather queries for others: those with at least twice the share of a core
+/// that the smallest VM of their data centre has. VMs with the same list find the same gatherers.
+std::set<std::string> find_gatherers(const std::vector<gatherer>& vms);
+
 /// Chooses by the expected time until a query's parts are processed. Equal VMs gather for
 /// themselves. A VM that refuses or loses queries is left out for a while, so that nobody depends
 /// on it. Not thread-safe.
--- a/source/forwarding/repeat_budget.hpp
+++ b/source/forwarding/repeat_budget.hpp
@@ -9,6 +9,7 @@
 
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <cstdint>
 
 #include "base/clock.hpp"
@@ -28,6 +29,21 @@
     bool operator==(const repeat_limits&) const = default;
 };
 
+/// Returns the number by which a VM divides the slack for a service. With `gatherer_count` VMs that
+/// send most of the requests to the service, these share most of the slack, and the others the
+/// rest; the shares of all `vm_count` VMs are at most the slack.
+inline std::size_t count_slack_sharers(std::size_t vm_count, std::size_t gatherer_count,
+                                       bool is_gatherer)
+{
+    constexpr double gatherers_share = 0.8;
+    if (gatherer_count == 0 || gatherer_count >= vm_count)
+        return vm_count;
+    const double sharers =
+        is_gatherer ? static_cast<double>(gatherer_count) / gatherers_share
+                    : static_cast<double>(vm_count - gatherer_count) / (1 - gatherers_share);
+    return static_cast<std::size_t>(std::ceil(sharers));
+}
+
 /// This VM's part of the limit for one service: the ratio of its own requests, and an equal share
 /// of the slack. Counts in time slots that cover any interval of the window's length.
 class repeat_budget
--- a/source/forwarding/route_table.cpp
+++ b/source/forwarding/route_table.cpp
@@ -130,6 +130,17 @@
     return nullptr;
 }
 
+std::set<std::string> route_table::shard_services() const
+{
+    std::set<std::string> result;
+    for (const route& item : m_routes)
+        result.insert(item.shards.begin(), item.shards.end());
+    for (const route& item : m_routes)
+        for (const weighted_service& single : item.services)
+            result.erase(single.service);
+    return result;
+}
+
 const route* route_table::find_named(std::string_view name) const
 {
     const auto found = std::find_if(m_routes.begin(), m_routes.end(),
--- a/source/forwarding/route_table.hpp
+++ b/source/forwarding/route_table.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -114,6 +115,8 @@
     /// Returns the route with the longest prefix of `path` among those of `host`, or null. `host`
     /// may have upper-case letters and a port; a query string in `path` is ignored.
     const route* find_route(std::string_view host, std::string_view path) const;
+    /// Services that are shards of queries and get no other requests.
+    std::set<std::string> shard_services() const;
     /// Returns the route with this name; null when there is none.
     const route* find_named(std::string_view name) const;
 
--- a/source/routing/connection_plan.cpp
+++ b/source/routing/connection_plan.cpp
@@ -44,7 +44,8 @@
 std::vector<std::uint32_t> plan_connections(const std::string& service, const std::string& own_vm,
                                             const std::vector<node_location>& vms,
                                             const std::vector<node_location>& replicas,
-                                            std::uint32_t limit)
+                                            std::uint32_t limit,
+                                            const std::set<std::string>& preferred)
 {
     std::vector<std::uint32_t> remaining(replicas.size(), shared_connections(limit));
     std::vector<std::vector<std::uint32_t>> planned(vms.size(),
@@ -64,22 +65,30 @@
                 best = replica;
         return best;
     };
-    const std::vector<std::size_t> order = order_vms(service, vms);
-    bool is_any_assigned = true;
-    for (std::size_t round = 0;
-         is_any_assigned && round < max_average_per_replica * replicas.size(); ++round)
+    const auto assign = [&](const std::vector<std::size_t>& order)
     {
-        is_any_assigned = false;
-        for (const std::size_t vm : order)
+        bool is_any_assigned = true;
+        for (std::size_t round = 0;
+             is_any_assigned && round < max_average_per_replica * replicas.size(); ++round)
         {
-            const auto replica = choose_replica(vm);
-            if (!replica)
-                continue;
-            --remaining[*replica];
-            ++planned[vm][*replica];
-            is_any_assigned = true;
+            is_any_assigned = false;
+            for (const std::size_t vm : order)
+            {
+                const auto replica = choose_replica(vm);
+                if (!replica)
+                    continue;
+                --remaining[*replica];
+                ++planned[vm][*replica];
+                is_any_assigned = true;
+            }
         }
-    }
+    };
+    std::vector<std::size_t> order = order_vms(service, vms);
+    const auto others =
+        std::stable_partition(order.begin(), order.end(),
+                              [&](std::size_t vm) { return preferred.contains(vms[vm].name); });
+    assign({order.begin(), others});
+    assign({others, order.end()});
     for (std::size_t vm = 0; vm < vms.size(); ++vm)
         if (vms[vm].name == own_vm)
             return planned[vm];
--- a/tests/unit/forwarding_budget_test.cpp
+++ b/tests/unit/forwarding_budget_test.cpp
@@ -57,6 +57,22 @@
     }
 }
 
+// Guards against a limit that gatherers and the other VMs exceed together, and against gatherers
+// that cannot repeat because VMs without requests hold the slack.
+TEST_F(fleet_budget_test, gatherers_get_most_of_the_slack_and_all_vms_at_most_all_of_it)
+{
+    constexpr std::size_t vm_count = 144;
+    constexpr std::size_t gatherers = 6;
+    const auto share = [&](bool is_gatherer)
+    {
+        return 1.0 / static_cast<double>(count_slack_sharers(vm_count, gatherers, is_gatherer));
+    };
+    EXPECT_LE(gatherers * share(true) + (vm_count - gatherers) * share(false), 1);
+    EXPECT_GE(gatherers * share(true), 0.7);
+    EXPECT_EQ(count_slack_sharers(vm_count, 0, false), vm_count);
+    EXPECT_EQ(count_slack_sharers(vm_count, vm_count, true), vm_count);
+}
+
 // Guards against a replica that refuses most requests and looks healthy again before its next
 // sample, and against one that is avoided long after it has recovered.
 TEST(event_rate_test, estimate_decays_at_the_pace_of_the_samples)
--- a/tests/unit/forwarding_gather_test.cpp
+++ b/tests/unit/forwarding_gather_test.cpp
@@ -115,5 +115,15 @@
     EXPECT_EQ(placement.candidate_count(), 1U);
 }
 
+// Guards against VMs that disagree on who gathers, and against gatherers in a fleet of equal VMs.
+TEST(find_gatherers_test, vms_with_twice_the_share_of_the_smallest_of_their_data_centre_gather)
+{
+    EXPECT_EQ(
+        find_gatherers({{"a1", "a", 0.1}, {"a2", "a", 0.5}, {"b1", "b", 0.5}, {"b2", "b", 0.5}}),
+        std::set<std::string>{"a2"});
+    EXPECT_TRUE(find_gatherers({{"a1", "a", 0.3}, {"a2", "a", 0.5}}).empty());
+    EXPECT_TRUE(find_gatherers({{"a1", "a", 0}, {"a2", "a", 0.5}}).empty());
+}
+
 } // namespace
 } // namespace ospreystair::forwarding
--- a/tests/unit/routing_plan_test.cpp
+++ b/tests/unit/routing_plan_test.cpp
@@ -91,6 +91,28 @@
         EXPECT_EQ(plan.connections_by_vm[vm][vm % 3], 1U) << vms[vm].name;
 }
 
+// Guards against VMs that send most of the requests and have to wait for connections that others
+// keep idle.
+TEST(connection_plan_test, preferred_vms_have_two_connections_to_each_replica_within_the_limit)
+{
+    const auto vms = make_locations("vm", 82, 3);
+    const auto replicas = make_locations("r", 3, 3);
+    const std::set<std::string> preferred{"vm3", "vm4", "vm5"};
+    std::vector<std::uint32_t> sums(replicas.size());
+    for (const node_location& vm : vms)
+    {
+        const auto planned = plan_connections("s", vm.name, vms, replicas, 63, preferred);
+        for (std::size_t replica = 0; replica < replicas.size(); ++replica)
+            sums[replica] += planned[replica];
+        if (preferred.contains(vm.name))
+        {
+            EXPECT_EQ(planned, (std::vector<std::uint32_t>{2, 2, 2}));
+        }
+    }
+    for (const std::uint32_t sum : sums)
+        EXPECT_LE(sum, shared_connections(63));
+}
+
 // Guards against a VM that opens connections before the others know of it.
 TEST(connection_plan_test, unlisted_vm_has_no_connections)
 {
