Zones: Hold which data centres are evacuated, and leave their replicas out

Cause: operators ask that the replicas of a data centre get nothing more, and no source knew the request. The replica directory marks the replicas of evacuated data centres; choice, hedges, waiting parts and counts leave them out. An evacuation counts neither as a cut nor as a reason for handing over.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -138,6 +138,16 @@
     /// A connection to a replica of the service has become free.
     void on_connection_available(const std::string& service) { resume_waiting(service); }
 
+    /// Data centres have been evacuated or taken back: parts that wait choose again.
+    void on_evacuations_changed()
+    {
+        std::vector<std::string> services;
+        for (const auto& [service, queue] : m_waiting)
+            services.push_back(service);
+        for (const std::string& service : services)
+            resume_waiting(service);
+    }
+
     /// Updates and returns `is_isolated`.
     bool update_isolation()
     {
@@ -288,15 +298,35 @@
                            });
     }
 
-    /// Whether the service has replicas, and this VM reaches none of them.
+    /// Whether the service has replicas that are not evacuated, and this VM reaches none of them.
     bool is_out_of_reach(const std::string& service) const
+    {
+        const base::time_point now = m_clock.now();
+        bool is_any_known = false;
+        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
+        {
+            if (candidate->is_ready() && !candidate->is_down(now))
+                return false;
+            is_any_known = is_any_known || !candidate->is_evacuated();
+        }
+        return is_any_known;
+    }
+
+    /// Whether replicas of the service would take requests if their data centres were not
+    /// evacuated.
+    bool is_held_back(const std::string& service) const
     {
         const base::time_point now = m_clock.now();
         const auto& candidates = m_directory.replicas_of(service);
-        return !candidates.empty() &&
-               std::none_of(candidates.begin(), candidates.end(),
-                            [now](const std::shared_ptr<replica>& candidate)
-                            { return candidate->is_ready() && !candidate->is_down(now); });
+        return std::any_of(candidates.begin(), candidates.end(),
+                           [now](const std::shared_ptr<replica>& candidate) {
+                               return candidate->is_evacuated() && candidate->is_available() &&
+                                      !candidate->is_down(now);
+                           });
+    }
+    void report_held_back(const run_type& run, const std::string& service)
+    {
+        m_observer.on_held_back(run, service);
     }
 
     /// When the first closed replica of the service takes requests again. Empty when there is none,
--- a/source/forwarding/reach_monitor.cpp
+++ b/source/forwarding/reach_monitor.cpp
@@ -17,9 +17,13 @@
     bool is_waiting = false;
     for (const auto& [id, known] : directory.replicas())
     {
-        if (!known->is_ready())
+        if (!known->is_available())
             continue;
+        // Evacuated replicas are not asked, so that they count as others that do not fail: the few
+        // that are left may fail by coincidence.
         ++ready_count;
+        if (known->is_evacuated())
+            continue;
         is_waiting = is_waiting || known->outstanding() > 0;
         if (known->is_silent_since(m_last_reply, now) || known->last_failure() >= m_last_reply)
             ++failing_count;
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -47,8 +47,16 @@
     void update(registration registry_entry, base::time_point now);
 
     /// Whether the replica is listed in the registry and not about to stop, as far as the registry
-    /// or the replica itself says.
-    bool is_ready() const { return m_is_listed && !m_registry_entry.is_draining && !m_is_leaving; }
+    /// or the replica itself says, and its data centre is not evacuated.
+    bool is_ready() const { return is_available() && !m_is_evacuated; }
+    /// Whether operators have asked that the replicas of its data centre get no requests.
+    bool is_evacuated() const { return m_is_evacuated; }
+    void set_evacuated(bool is_evacuated) { m_is_evacuated = is_evacuated; }
+    /// Like `is_ready`, but for an evacuation.
+    bool is_available() const
+    {
+        return m_is_listed && !m_registry_entry.is_draining && !m_is_leaving;
+    }
     void set_listed(bool is_listed) { m_is_listed = is_listed; }
     /// Whether the registry entry is missing but may come back, for example after an outage.
     bool is_unconfirmed() const { return m_is_unconfirmed; }
@@ -165,6 +173,7 @@
     bool m_is_listed = true;
     bool m_is_unconfirmed = false;
     bool m_is_replaced = false;
+    bool m_is_evacuated = false;
     bool m_is_leaving = false;
     base::time_point m_closed_until{};
     // Whether no request has succeeded since m_closed_until.
--- a/source/forwarding/replica_directory.cpp
+++ b/source/forwarding/replica_directory.cpp
@@ -3,7 +3,6 @@
 #include "forwarding/replica_directory.hpp"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace ospreystair::forwarding
@@ -60,6 +59,7 @@
     if (found != m_replicas.end() && found->second->registry_entry().is_same_incarnation(entry))
     {
         found->second->update(entry, now);
+        mark_evacuated(*found->second);
         m_removal_times.erase(entry.id);
         return;
     }
@@ -67,6 +67,7 @@
         remove(entry.id, now);
     m_departures.erase(entry.id);
     auto added = std::make_shared<replica>(entry, now);
+    mark_evacuated(*added);
     m_replicas[entry.id] = added;
     m_by_service[entry.service].push_back(added);
     m_on_added(added);
@@ -87,6 +88,18 @@
                                 now < m_reregistration_end ? m_reregistration_end : now + delay);
 }
 
+void replica_directory::set_evacuated(std::set<std::string> data_centres)
+{
+    m_evacuated = std::move(data_centres);
+    for (const auto& [id, known] : m_replicas)
+        mark_evacuated(*known);
+}
+
+void replica_directory::mark_evacuated(replica& known) const
+{
+    known.set_evacuated(m_evacuated.contains(known.registry_entry().data_centre));
+}
+
 void replica_directory::record_outage()
 {
     m_is_registry_down = true;
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,6 +57,9 @@
     /// `age` is an upper bound of the time since the removal.
     void apply_removal(const std::string& id, base::time_point now, base::duration age = {});
 
+    /// Sets the data centres whose replicas, present and later ones, get no requests.
+    void set_evacuated(std::set<std::string> data_centres);
+
     /// Records that the registry is unreachable; the known entries are kept.
     void record_outage();
     /// Records that the registry is reachable again. Must be called before its list is applied.
@@ -94,6 +98,7 @@
     };
 
     void remove(const std::string& id, base::time_point now);
+    void mark_evacuated(replica& known) const;
     // Whether the entry may be one that the registry has brought back from an older copy.
     bool is_from_copy(const registration& entry) const;
     void add_due_reappearances(base::time_point now);
@@ -113,6 +118,8 @@
     base::time_point m_reregistration_end{};
     // When each unconfirmed replica is removed, by id.
     std::map<std::string, base::time_point> m_removal_times;
+    // Invariant: exactly the replicas of these data centres are marked as evacuated.
+    std::set<std::string> m_evacuated;
     // Invariant: m_by_service holds exactly the replicas of m_replicas.
     std::map<std::string, std::shared_ptr<replica>> m_replicas;
     std::map<std::string, std::vector<std::shared_ptr<replica>>> m_by_service;
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -195,7 +195,10 @@
             servable.count >= required_parts())
             return false;
         const std::string& missing = servable.first_missing;
-        if (!missing.empty())
+        // An evacuation is no sign of a cut.
+        if (!missing.empty() && m_dispatcher.is_held_back(missing))
+            m_dispatcher.report_held_back(*this, missing);
+        else if (!missing.empty())
             m_dispatcher.record_unservable();
         finish_refused(missing.empty()
                            ? std::string("the caller's deadline leaves no time")
--- a/tests/unit/dispatcher_fixture.hpp
+++ b/tests/unit/dispatcher_fixture.hpp
@@ -42,6 +42,11 @@
     {
         ++crashes;
     }
+    template<class Run>
+    void on_held_back(const Run&, const std::string&)
+    {
+        ++held_back;
+    }
     void on_replica_leaving(const replica&) { ++leaving; }
     void on_replica_closed(const replica&, milliseconds) { ++closures; }
     void on_reach_changed(bool, base::duration) {}
@@ -60,6 +65,7 @@
     int budget_refusals = 0;
     int leaving = 0;
     int closures = 0;
+    int held_back = 0;
     int crashes = 0;
     std::vector<std::optional<double>> limits;
 };
