--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -352,12 +352,13 @@
 retryBudgetRatio = 0.2
 retryWindowS = 10
 retrySlack = 58
+{}
 [platform]
 address = "{}:{}"
 )",
                         vm.name, vm.data_centre, vm.ip, first_peer_port, first_peer_port + 5, vm.ip,
-                        caller_port, vm.ip, readiness_port, store.address().to_string(),
-                        store.port());
+                        caller_port, vm.ip, readiness_port, m_options.further_bounds,
+                        store.address().to_string(), store.port());
     const auto index = static_cast<std::size_t>(&vm - m_vms.data());
     if (index < m_options.core_shares.size())
         file << fmt::format("[limits]\ncpuShare = {}\n", m_options.core_shares[index]);
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -99,6 +99,8 @@
     std::chrono::milliseconds timeout{1000};
     /// The gateway that VMs start with.
     std::string program = OSPREYSTAIR_PROGRAM_FOLDER "/ospreystair-gateway";
+    /// Further lines of the settings' table of bounds.
+    std::string further_bounds = {};
     /// Gives each VM its own routes to the replicas, which `set_routes` cuts.
     bool has_routes = false;
     /// Share of a core that each VM may use, by its settings; unknown for VMs beyond the list.
