Zones: Keep requests with home regions at home

Cause: the home regions of routes and teams were read and bound nothing. Change: forwarding/home_data_centres finds the data centres in which both lists allow a request; the dispatcher leaves replicas elsewhere out of its choice. Such a request is neither handed over nor gathered by another VM.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -19,6 +19,7 @@
 
 #include "base/hash.hpp"
 #include "base/random.hpp"
+#include "forwarding/home_data_centres.hpp"
 #include "forwarding/isolation_monitor.hpp"
 #include "forwarding/reach_monitor.hpp"
 #include "forwarding/repeat_budget.hpp"
@@ -60,6 +61,8 @@
     repeat_limits repeats;
     /// Data centre of this VM.
     std::string data_centre;
+    /// Region of each data centre.
+    std::map<std::string, std::string> regions = {};
 };
 
 /// `Observer` is notified of hedges, hedges that are not sent, and failed attempts. Not
@@ -102,6 +105,16 @@
         m_gatherer_count = count;
         m_is_gatherer = is_gatherer;
     }
+    void set_regions(std::map<std::string, std::string> regions)
+    {
+        m_settings.regions = std::move(regions);
+    }
+    /// Where requests of the team on the route may be served; `team` may be null.
+    home_data_centres find_homes(const route& rule, const teams::team* team) const
+    {
+        static const std::vector<std::string> all;
+        return {m_settings.regions, rule.home_regions, team ? team->home_regions : all};
+    }
     void set_repeat_limits(const repeat_limits& limits) { m_settings.repeats = limits; }
 
     /// Starts a request on a route of `table()`. `on_answer` is called exactly once, possibly
@@ -174,11 +187,12 @@
     /// Whether this VM could serve a request on the route now.
     bool can_serve(const route& rule) const
     {
+        const home_data_centres homes = find_homes(rule, nullptr);
         if (rule.is_gather())
-            return find_servable(rule.shards).count >= rule.min_parts();
+            return find_servable(rule.shards, homes).count >= rule.min_parts();
         return std::any_of(rule.services.begin(), rule.services.end(),
-                           [this](const weighted_service& each)
-                           { return has_live_replica(each.service); });
+                           [&](const weighted_service& each)
+                           { return has_live_replica(each.service, homes); });
     }
 
     /// Returns the answer to a request that crashes the replicas which run it; empty for others.
@@ -211,18 +225,18 @@
         bool is_closed = false;
     };
 
-    /// Returns the replica with the lowest estimated cost. A suspect replica is returned only when
-    /// there is no other.
+    /// Returns the replica at home with the lowest estimated cost. A suspect replica is returned
+    /// only when there is no other.
     choice choose(const std::string& service, const std::vector<std::shared_ptr<replica>>& excluded,
-                  const latency_baseline& baseline)
+                  const latency_baseline& baseline, const home_data_centres& homes)
     {
-        return choose_among(m_directory.replicas_of(service), excluded, baseline);
+        return choose_among(m_directory.replicas_of(service), excluded, baseline, homes);
     }
 
     /// Like `choose`, among `candidates`.
     choice choose_among(const std::vector<std::shared_ptr<replica>>& candidates,
                         const std::vector<std::shared_ptr<replica>>& excluded,
-                        const latency_baseline& baseline)
+                        const latency_baseline& baseline, const home_data_centres& homes)
     {
         choice result;
         std::optional<base::duration> best;
@@ -230,6 +244,7 @@
         for (const std::shared_ptr<replica>& candidate : candidates)
         {
             if (!candidate->is_ready() || candidate->is_down(now) ||
+                !is_at_home(*candidate, homes) ||
                 std::find(excluded.begin(), excluded.end(), candidate) != excluded.end())
                 continue;
             if (candidate->is_closed(now))
@@ -259,11 +274,12 @@
         std::string first_missing;
     };
 
-    servable_services find_servable(const std::vector<std::string>& services) const
+    servable_services find_servable(const std::vector<std::string>& services,
+                                    const home_data_centres& homes) const
     {
         servable_services result;
         for (const std::string& service : services)
-            if (has_live_replica(service))
+            if (has_live_replica(service, homes))
                 ++result.count;
             else if (result.first_missing.empty())
                 result.first_missing = service;
@@ -277,34 +293,37 @@
     };
 
     /// Counts the listed replicas of a service that are not about to stop.
-    replica_counts count_replicas(const std::string& service) const
+    replica_counts count_replicas(const std::string& service, const home_data_centres& homes) const
     {
         replica_counts result;
         for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
-            if (candidate->is_ready())
+            if (candidate->is_ready() && is_at_home(*candidate, homes))
                 ++(candidate->is_down(m_clock.now()) ? result.down : result.live);
         return result;
     }
 
     /// Whether some replica of the service takes requests now.
-    bool has_live_replica(const std::string& service) const
+    bool has_live_replica(const std::string& service, const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         const auto& candidates = m_directory.replicas_of(service);
         return std::any_of(candidates.begin(), candidates.end(),
-                           [now](const std::shared_ptr<replica>& candidate) {
+                           [&](const std::shared_ptr<replica>& candidate)
+                           {
                                return candidate->is_ready() && !candidate->is_down(now) &&
-                                      !candidate->is_closed(now);
+                                      !candidate->is_closed(now) && is_at_home(*candidate, homes);
                            });
     }
 
     /// Whether the service has replicas that are not evacuated, and this VM reaches none of them.
-    bool is_out_of_reach(const std::string& service) const
+    bool is_out_of_reach(const std::string& service, const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         bool is_any_known = false;
         for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
         {
+            if (!is_at_home(*candidate, homes))
+                continue;
             if (candidate->is_ready() && !candidate->is_down(now))
                 return false;
             is_any_known = is_any_known || !candidate->is_evacuated();
@@ -314,14 +333,15 @@
 
     /// Whether replicas of the service would take requests if their data centres were not
     /// evacuated.
-    bool is_held_back(const std::string& service) const
+    bool is_held_back(const std::string& service, const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         const auto& candidates = m_directory.replicas_of(service);
         return std::any_of(candidates.begin(), candidates.end(),
-                           [now](const std::shared_ptr<replica>& candidate) {
+                           [&](const std::shared_ptr<replica>& candidate)
+                           {
                                return candidate->is_evacuated() && candidate->is_available() &&
-                                      !candidate->is_down(now);
+                                      !candidate->is_down(now) && is_at_home(*candidate, homes);
                            });
     }
     void report_held_back(const run_type& run, const std::string& service)
@@ -331,13 +351,14 @@
 
     /// When the first closed replica of the service takes requests again. Empty when there is none,
     /// or when another one takes requests.
-    std::optional<base::time_point> find_reopening(const std::string& service) const
+    std::optional<base::time_point> find_reopening(const std::string& service,
+                                                   const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         std::optional<base::time_point> result;
         for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
         {
-            if (!candidate->is_ready() || candidate->is_down(now))
+            if (!candidate->is_ready() || candidate->is_down(now) || !is_at_home(*candidate, homes))
                 continue;
             if (!candidate->is_closed(now))
                 return std::nullopt;
@@ -469,6 +490,11 @@
     // Added for a suspect replica, so that it is chosen only when there is no other.
     static constexpr std::chrono::seconds suspect_cost{60};
 
+    static bool is_at_home(const replica& candidate, const home_data_centres& homes)
+    {
+        return homes.permits(candidate.registry_entry().data_centre);
+    }
+
     base::duration estimate_cost(const replica& candidate, connection_availability availability,
                                  base::time_point now, const latency_baseline& baseline)
     {
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -20,6 +20,7 @@
 #include "base/fingerprint.hpp"
 #include "forwarding/answer.hpp"
 #include "forwarding/crash_caution.hpp"
+#include "forwarding/home_data_centres.hpp"
 #include "forwarding/query_part.hpp"
 #include "forwarding/reach_monitor.hpp"
 #include "forwarding/route_table.hpp"
@@ -70,8 +71,9 @@
                 std::shared_ptr<const route_table> table, const route& rule,
                 std::shared_ptr<route_knowledge> statistics, completion on_answer)
         : m_dispatcher(dispatcher), m_request(std::move(request)), m_table(std::move(table)),
-          m_route(rule), m_statistics(std::move(statistics)),
-          m_baseline(m_statistics->baseline(rule.objective)), m_on_answer(std::move(on_answer)),
+          m_route(rule), m_homes(dispatcher.find_homes(rule, m_request.team.get())),
+          m_statistics(std::move(statistics)), m_baseline(m_statistics->baseline(rule.objective)),
+          m_on_answer(std::move(on_answer)),
           m_deadline_budget(dispatcher.now(), std::min(m_request.deadline, rule.timeout)),
           m_started_at(dispatcher.now()), m_answer_at(compute_answer_time()),
           m_straggler_rule(m_started_at, m_baseline, rule.objective),
@@ -190,13 +192,13 @@
 
     bool refuse_if_unservable(const std::vector<std::string>& services)
     {
-        const auto servable = m_dispatcher.find_servable(services);
+        const auto servable = m_dispatcher.find_servable(services, m_homes);
         if (m_deadline_budget.remaining(m_dispatcher.now()) > base::duration{0} &&
             servable.count >= required_parts())
             return false;
         const std::string& missing = servable.first_missing;
         // An evacuation is no sign of a cut.
-        if (!missing.empty() && m_dispatcher.is_held_back(missing))
+        if (!missing.empty() && m_dispatcher.is_held_back(missing, m_homes))
             m_dispatcher.report_held_back(*this, missing);
         else if (!missing.empty())
             m_dispatcher.record_unservable();
@@ -308,11 +310,11 @@
     // none is down now, the service has no more of them than usual.
     bool has_spare_replica(const query_part& item) const
     {
-        const auto counts = m_dispatcher.count_replicas(item.service);
+        const auto counts = m_dispatcher.count_replicas(item.service, m_homes);
         if (counts.live > 1 || counts.down == 0)
             return true;
         return m_route.is_gather() &&
-               m_dispatcher.find_servable(m_route.shards).count > required_parts();
+               m_dispatcher.find_servable(m_route.shards, m_homes).count > required_parts();
     }
 
     bool may_start_trial()
@@ -359,9 +361,10 @@
         const bool is_repeat = !item.tried.empty();
         typename Dispatcher::choice choice;
         if (!has_tried_all(item))
-            choice = m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline);
+            choice =
+                m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline, m_homes);
         if (!choice.target && !choice.is_saturated && !item.refused_by.empty())
-            choice = m_dispatcher.choose_among(item.refused_by, {}, m_baseline);
+            choice = m_dispatcher.choose_among(item.refused_by, {}, m_baseline, m_homes);
         if (!choice.target && choice.is_saturated)
         {
             wait_for_connection(index);
@@ -518,7 +521,7 @@
                                  m_answered >= required_parts();
         if (is_too_late || now + m_baseline.median > m_deadline_budget.end())
             return m_dispatcher.report_no_hedge(*this, item.service, "too little time is left");
-        const auto choice = m_dispatcher.choose(item.service, item.tried, m_baseline);
+        const auto choice = m_dispatcher.choose(item.service, item.tried, m_baseline, m_homes);
         if (!choice.target || !m_dispatcher.may_repeat(item.service))
         {
             m_dispatcher.report_no_hedge(*this, item.service,
@@ -691,12 +694,14 @@
         answer result;
         result.kind = answer_kind::not_run;
         result.retry_after = m_dispatcher.choose_retry_after(m_request.deadline, find_reopening());
-        result.is_out_of_reach = !m_is_trial_refused &&
-                                 std::any_of(m_parts.begin(), m_parts.end(),
-                                             [this](const query_part& item) {
-                                                 return item.state != part_state::answered &&
-                                                        m_dispatcher.is_out_of_reach(item.service);
-                                             });
+        result.is_out_of_reach =
+            !m_is_trial_refused &&
+            std::any_of(m_parts.begin(), m_parts.end(),
+                        [this](const query_part& item)
+                        {
+                            return item.state != part_state::answered &&
+                                   m_dispatcher.is_out_of_reach(item.service, m_homes);
+                        });
         result.reason = std::move(reason);
         finish(std::move(result));
     }
@@ -709,7 +714,7 @@
         {
             const auto reopening = item.state == part_state::answered
                                        ? std::nullopt
-                                       : m_dispatcher.find_reopening(item.service);
+                                       : m_dispatcher.find_reopening(item.service, m_homes);
             if (reopening && (!result || *reopening > *result))
                 result = reopening;
         }
@@ -740,6 +745,8 @@
     const std::shared_ptr<const route_table> m_table;
     // Points into m_table.
     const route& m_route;
+    // Invariant: no attempt goes to a replica elsewhere.
+    const home_data_centres m_homes;
     const std::shared_ptr<route_knowledge> m_statistics;
     const latency_baseline m_baseline;
     completion m_on_answer;
--- a/tests/unit/dispatcher_fixture.hpp
+++ b/tests/unit/dispatcher_fixture.hpp
@@ -253,6 +253,7 @@
         request.deadline = 1000ms;
         request.network_time = network_time;
         request.fingerprint = fingerprint;
+        request.team = m_team;
         const base::time_point start = m_clock.now();
         const std::size_t number = m_answers.size();
         m_answers.emplace_back();
@@ -327,6 +328,8 @@
     test_dispatcher m_dispatcher{m_clock,    m_random,    m_transport,
                                  m_observer, m_directory, {{0.2, 20, 10'000ms}, "a"}};
     std::shared_ptr<test_dispatcher::run_type> m_run;
+    // The team of all requests.
+    std::shared_ptr<const teams::team> m_team;
     // Requests offered to other VMs.
     int m_offers = 0;
     // Number of answers to each request.
