--- a/source/teams/quota_keeper.cpp
+++ b/source/teams/quota_keeper.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 namespace ospreystair::teams
 {
@@ -41,7 +42,10 @@
             m_announcements.push_back(team);
     }
     else if (now - changed.full_since >= m_bounds.window)
-        changed.is_metered = false;
+    {
+        if (std::exchange(changed.is_metered, false))
+            m_releases.push_back(team);
+    }
 }
 
 void quota_keeper::refuse(account& full, unsigned count, quota_answer& result,
--- a/source/teams/quota_keeper.hpp
+++ b/source/teams/quota_keeper.hpp
@@ -55,6 +55,8 @@
     /// Returns the teams that have become metered since the last call. All VMs have to hear of
     /// them.
     std::vector<std::string> take_announcements() { return std::exchange(m_announcements, {}); }
+    /// Returns the teams that are no longer metered since the last call.
+    std::vector<std::string> take_releases() { return std::exchange(m_releases, {}); }
 
     std::size_t team_count() const { return m_accounts.size(); }
     std::size_t metered_count() const;
@@ -81,6 +83,7 @@
     base::time_point m_keeping_since;
     std::unordered_map<std::string, account> m_accounts;
     std::vector<std::string> m_announcements;
+    std::vector<std::string> m_releases;
 };
 
 } // namespace ospreystair::teams
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -352,6 +352,9 @@
 retryBudgetRatio = 0.2
 retryWindowS = 10
 retrySlack = 58
+quotaWindowS = 5
+quotaOver = 0.1
+quotaSlack = 20
 {}
 [platform]
 address = "{}:{}"
