Quota: Serve teams from standby keepers while their keeper is out of reach

Cause: a replaced VM stays in the list of VMs for 20 minutes. Until then its teams had the reserve by turns, which VMs that see a team every few seconds hardly use. Change: after two calls without an answer a VM asks the next two VMs of the rendezvous order, which grant 30 percent of the margin in a window from one bucket, and asks the keeper once a second whether it is back.

--- a/source/teams/keeper_choice.hpp
+++ b/source/teams/keeper_choice.hpp
@@ -31,17 +31,35 @@
         return true;
     }
 
-    /// Returns an empty name while no list is known. The result refers to this object.
-    std::string_view find(std::string_view team) const
+    /// Returns the keeper (rank 0) or a standby keeper (from rank 1). Returns an empty name when
+    /// the list has no more VMs. The result refers to this object.
+    std::string_view find(std::string_view team, unsigned rank = 0) const
+    {
+        std::string_view result = find_below(team, no_limit);
+        for (; rank > 0 && !result.empty(); --rank)
+            result = find_below(team, weigh(team, base::stable_hash(result)));
+        return result;
+    }
+
+    const std::vector<std::string>& vms() const { return m_vms; }
+
+private:
+    static constexpr std::uint64_t no_limit = ~std::uint64_t{0};
+
+    static std::uint64_t weigh(std::string_view team, std::uint64_t vm_hash)
+    {
+        return base::mix_bits(base::stable_hash(team) ^ base::mix_bits(vm_hash));
+    }
+
+    // Returns the VM of the highest weight below `limit`.
+    std::string_view find_below(std::string_view team, std::uint64_t limit) const
     {
-        const std::uint64_t team_hash = base::stable_hash(team);
         std::string_view result;
         std::uint64_t highest = 0;
         for (std::size_t index = 0; index < m_vms.size(); ++index)
         {
-            const std::uint64_t weight =
-                base::mix_bits(team_hash ^ base::mix_bits(m_hashes[index]));
-            if (!result.empty() && weight <= highest)
+            const std::uint64_t weight = weigh(team, m_hashes[index]);
+            if (weight >= limit || (!result.empty() && weight <= highest))
                 continue;
             highest = weight;
             result = m_vms[index];
@@ -49,9 +67,6 @@
         return result;
     }
 
-    const std::vector<std::string>& vms() const { return m_vms; }
-
-private:
     std::vector<std::string> m_vms;
     // At the positions of m_vms.
     std::vector<std::uint64_t> m_hashes;
--- a/source/teams/quota_client.cpp
+++ b/source/teams/quota_client.cpp
@@ -32,7 +32,7 @@
     const bool is_lost = is_out_of_reach(*known);
     if (is_lost && now - known->asked_at < retry_interval)
         return decide_alone(team, quota, now);
-    if (known->is_metered || is_lost)
+    if (known->is_metered || is_lost || known->rank > 0)
     {
         ++known->wanted;
         return quota_decision::asked;
@@ -92,6 +92,7 @@
         return result;
     result.used = std::exchange(known->used, 0);
     result.wanted = std::exchange(known->wanted, 0);
+    result.rank = known->rank;
     known->asked_at = now;
     return result;
 }
@@ -102,7 +103,11 @@
     account* const known = find(question.team, now);
     if (!known)
         return;
-    known->is_metered = answer.is_metered;
+    if (question.rank == 0)
+    {
+        known->is_metered = answer.is_metered;
+        known->rank = 0;
+    }
     known->failures = 0;
     known->reserve.reset();
 }
@@ -114,7 +119,16 @@
         return false;
     known->used += question.used;
     ++known->failures;
-    const bool is_lost = is_out_of_reach(*known);
+    const bool is_lost = is_out_of_reach(*known) && known->rank >= max_rank;
+    if (is_lost)
+        known->rank = 0;
+    else if (is_out_of_reach(*known))
+    {
+        ++known->rank;
+        known->probed_at = now;
+        // A standby keeper has one try.
+        known->failures = max_failures - 1;
+    }
     if (is_lost)
         known->wanted = 0;
     else
@@ -122,6 +136,16 @@
     return !is_lost;
 }
 
+bool quota_client::take_probe(const std::string& team, base::time_point now)
+{
+    const auto found = m_accounts.find(team);
+    if (found == m_accounts.end() || found->second.rank == 0 ||
+        now - found->second.probed_at < retry_interval)
+        return false;
+    found->second.probed_at = now;
+    return true;
+}
+
 void quota_client::on_metered(const std::string& team, base::time_point now)
 {
     if (account* const known = find(team, now))
--- a/source/teams/quota_client.hpp
+++ b/source/teams/quota_client.hpp
@@ -31,10 +31,12 @@
 class quota_client
 {
 public:
+    /// Standby keepers that are asked, in turn, while the keeper is out of reach.
+    static constexpr unsigned max_rank = 2;
     /// Calls to the keeper that fail one after the other until it counts as out of reach.
     static constexpr unsigned max_failures = 2;
     /// A keeper out of reach is asked again at most this often, by a team's next request.
-    static constexpr std::chrono::milliseconds retry_interval{300};
+    static constexpr std::chrono::milliseconds retry_interval{1'000};
     /// Teams known at the same time; further ones use the reserve.
     static constexpr std::size_t max_teams = 20'000;
 
@@ -66,6 +68,9 @@
     /// Returns whether the question should be asked again at once. Otherwise those that wait decide
     /// alone.
     bool on_failure(const quota_question& question, base::time_point now);
+    /// Whether the keeper should be asked beside a standby keeper, to learn when it is back. Counts
+    /// as asked.
+    bool take_probe(const std::string& team, base::time_point now);
     /// The keeper has announced that the team's requests need permits.
     void on_metered(const std::string& team, base::time_point now);
 
@@ -79,6 +84,9 @@
     {
         bool is_metered = false;
         unsigned failures = 0;
+        // Which of the keepers is asked.
+        unsigned rank = 0;
+        base::time_point probed_at{};
         int used = 0;
         unsigned wanted = 0;
         base::time_point used_at{};
--- a/source/teams/quota_keeper.cpp
+++ b/source/teams/quota_keeper.cpp
@@ -12,11 +12,16 @@
 quota_keeper::account& quota_keeper::find(const std::string& team, const request_quota& quota,
                                           base::time_point now)
 {
-    const double depth = m_bounds.bucket_depth(quota);
+    const bool is_standby = m_role == keeper_role::standby;
+    const double depth = is_standby ? m_bounds.standby_depth(quota) : m_bounds.bucket_depth(quota);
+    // A standby keeper without a margin grants nothing that matters.
+    constexpr double min_rate = 1e-3;
+    const double rate =
+        std::max(min_rate, is_standby ? m_bounds.standby_rate(quota) : quota.requests_per_second);
     const auto found = m_accounts.find(team);
     if (found != m_accounts.end())
     {
-        found->second.bucket.update(quota.requests_per_second, depth, now);
+        found->second.bucket.update(rate, depth, now);
         return found->second;
     }
     if (m_accounts.size() >= max_teams)
@@ -24,7 +29,7 @@
     // What was forgotten instead had sent its requests elsewhere or not at all.
     if (m_accounts.size() >= max_teams)
         m_accounts.erase(m_accounts.begin());
-    account created(quota_bucket(quota.requests_per_second, depth, m_keeping_since));
+    account created(quota_bucket(rate, depth, m_keeping_since));
     created.full_since = now;
     return m_accounts.emplace(team, std::move(created)).first->second;
 }
--- a/source/teams/quota_keeper.hpp
+++ b/source/teams/quota_keeper.hpp
@@ -19,6 +19,13 @@
 namespace ospreystair::teams
 {
 
+enum class keeper_role
+{
+    keeper,
+    /// Grants a part of the margin to VMs that do not reach the keeper.
+    standby
+};
+
 /// The keeper's side: one bucket a team. While a team is near its quota, it is metered: its
 /// requests need permits. Not thread-safe.
 class quota_keeper
@@ -27,8 +34,9 @@
     /// Teams that are kept at the same time; those that are idle are forgotten first.
     static constexpr std::size_t max_teams = 20'000;
 
-    quota_keeper(const quota_bounds& bounds, base::time_point now)
-        : m_bounds(bounds), m_keeping_since(now)
+    quota_keeper(const quota_bounds& bounds, base::time_point now,
+                 keeper_role role = keeper_role::keeper)
+        : m_role(role), m_bounds(bounds), m_keeping_since(now)
     {
     }
 
@@ -79,6 +87,7 @@
     // Promises return times to those that were refused, one after the other at the quota's rate.
     void refuse(account& full, unsigned count, quota_answer& result, base::time_point now) const;
 
+    const keeper_role m_role;
     quota_bounds m_bounds;
     base::time_point m_keeping_since;
     std::unordered_map<std::string, account> m_accounts;
--- a/source/teams/quota_question.hpp
+++ b/source/teams/quota_question.hpp
@@ -17,6 +17,8 @@
     int used = 0;
     /// Requests that wait for a permit.
     unsigned wanted = 0;
+    /// 0 for the keeper, from 1 for the standby keepers.
+    unsigned rank = 0;
 };
 
 struct quota_answer
--- a/tests/unit/platform_quota_test.cpp
+++ b/tests/unit/platform_quota_test.cpp
@@ -40,8 +40,8 @@
     base::error reason;
     for (const std::string text :
          {"", "[]", "{}", R"({"team":1,"used":0,"wanted":1})", R"({"team":"t","used":0})",
-          R"({"team":"t","used":99999999999,"wanted":1})",
-          R"({"team":"t","used":0,"wanted":-1})", R"({"metered":[1]})"})
+          R"({"team":"t","used":99999999999,"wanted":1})", R"({"team":"t","used":0,"wanted":-1})",
+          R"({"metered":[1]})"})
         EXPECT_FALSE(quota_message::decode(text, reason)) << text;
     EXPECT_FALSE(decode_quota_answer("{}", 1));
     EXPECT_FALSE(decode_quota_answer(R"({"granted":-1,"metered":true})", 1));
--- a/tests/unit/teams_quota_test.cpp
+++ b/tests/unit/teams_quota_test.cpp
@@ -37,10 +37,14 @@
 
     struct fake_vm
     {
-        explicit fake_vm(base::time_point now) : client(bounds, now), keeper(bounds, now) {}
+        explicit fake_vm(base::time_point now)
+            : client(bounds, now), keeper(bounds, now), standby(bounds, now, keeper_role::standby)
+        {
+        }
 
         quota_client client;
         quota_keeper keeper;
+        quota_keeper standby;
         int side = 0;
         bool is_down = false;
         unsigned waiting = 0;
@@ -75,11 +79,11 @@
             routing::find_fleet_position(m_choice.vms()[vm], m_choice.vms(), base::time_point{}));
     }
 
-    std::size_t keeper_index() const
+    std::size_t keeper_index(unsigned rank = 0) const
     {
         const auto& names = m_choice.vms();
-        return static_cast<std::size_t>(std::find(names.begin(), names.end(), m_choice.find(team)) -
-                                        names.begin());
+        return static_cast<std::size_t>(
+            std::find(names.begin(), names.end(), m_choice.find(team, rank)) - names.begin());
     }
 
     void count(quota_decision decision)
@@ -124,14 +128,24 @@
             return;
         vm.report_at = base::time_point::max();
         const quota_question question = vm.client.take_question(team, m_now);
-        fake_vm& keeper = *m_vms[keeper_index()];
+        const fake_vm& first = *m_vms[keeper_index()];
+        if (vm.client.take_probe(team, m_now) && !first.is_down && first.side == vm.side)
+            vm.client.on_answer({team}, {0, 0ms, 0ms, true}, m_now);
+        if (keeper_index(question.rank) == m_vms.size())
+        {
+            if (!vm.client.on_failure(question, m_now))
+                end_alone(vm);
+            return;
+        }
+        fake_vm& keeper = *m_vms[keeper_index(question.rank)];
         if (keeper.is_down || keeper.side != vm.side)
         {
             vm.lost = question;
             vm.lost_until = m_now + timeout;
             return;
         }
-        const quota_answer answer = keeper.keeper.answer(question, m_quota, m_now);
+        const quota_answer answer =
+            (question.rank > 0 ? keeper.standby : keeper.keeper).answer(question, m_quota, m_now);
         vm.client.on_answer(question, answer, m_now);
         m_sent.insert(m_sent.end(), answer.granted, m_now);
         m_refused += question.wanted - answer.granted;
@@ -238,6 +252,18 @@
     EXPECT_LE(most_in_window(), limit());
 }
 
+// Guards against a small team that is refused for as long as its keeper is down.
+TEST_F(quota_fleet_test, small_team_is_served_by_a_standby_keeper_while_its_keeper_is_down)
+{
+    m_quota = {1.6, 4};
+    start(60);
+    play(20s, 1);
+    m_vms[keeper_index()]->is_down = true;
+    m_owed = m_refused = 0;
+    play(60s, 0.8);
+    EXPECT_LE(m_refused * 4, m_owed) << m_refused << " of " << m_owed;
+}
+
 // Guards against a burst that is granted anew after a loss of power.
 TEST_F(quota_fleet_test, loss_of_power_grants_no_second_burst)
 {
