--- a/source/teams/quota_keeper.cpp
+++ b/source/teams/quota_keeper.cpp
@@ -31,7 +31,7 @@
         m_accounts.erase(m_accounts.begin());
     account created(quota_bucket(rate, depth, m_keeping_since));
     created.full_since = now;
-    return m_accounts.emplace(team, std::move(created)).first->second;
+    return m_accounts.emplace(team, created).first->second;
 }
 
 void quota_keeper::update_episode(const std::string& team, account& changed, base::time_point now)
--- a/source/teams/quota_keeper.hpp
+++ b/source/teams/quota_keeper.hpp
@@ -72,7 +72,7 @@
 private:
     struct account
     {
-        explicit account(quota_bucket start) : bucket(std::move(start)) {}
+        explicit account(const quota_bucket& start) : bucket(start) {}
 
         quota_bucket bucket;
         bool is_metered = false;
