Routing: Plan connections again only for the services that changed

Each replica that comes or goes planned the connections of all services anew, each over all VMs and in rounds. Change: routing::connection_planner keeps each service's plan beside its inputs, and recomputes it only when its replicas, its limit or the list of VMs differ. Results are those of plan_connections. Result: connection_planner_test compares them and counts the plans; routing_plan_test passes.

--- a/tests/unit/routing_plan_test.cpp
+++ b/tests/unit/routing_plan_test.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "routing/connection_plan.hpp"
+#include "routing/connection_planner.hpp"
 #include "routing/connection_quota.hpp"
 
 namespace ospreystair::routing
@@ -121,5 +122,38 @@
               (std::vector<std::uint32_t>{0, 0}));
 }
 
+// Guards against a plan that is kept although its replicas, its limit or the VMs have changed, and
+// against plans of all services after the change of one.
+TEST(connection_planner_test, only_changed_services_are_planned_again)
+{
+    auto vms = make_locations("vm", 40, 3);
+    auto replicas = make_locations("r", 3, 3);
+    connection_planner planner("vm7");
+    EXPECT_EQ(planner.plan("s", replicas, 20), std::vector<std::uint32_t>(3));
+    EXPECT_TRUE(planner.set_vms(vms));
+    EXPECT_FALSE(planner.set_vms(vms));
+    const auto expect_plan = [&](const std::string& service, std::uint32_t limit)
+    {
+        EXPECT_EQ(planner.plan(service, replicas, limit),
+                  plan_connections(service, "vm7", vms, replicas, limit));
+    };
+    expect_plan("s", 20);
+    expect_plan("t", 20);
+    const std::size_t count = planner.computed_count();
+    expect_plan("s", 20);
+    expect_plan("t", 20);
+    EXPECT_EQ(planner.computed_count(), count);
+    expect_plan("s", 90);
+    replicas.pop_back();
+    expect_plan("t", 20);
+    EXPECT_EQ(planner.computed_count(), count + 2);
+    vms.erase(vms.begin());
+    EXPECT_TRUE(planner.set_vms(vms));
+    expect_plan("s", 90);
+    planner.forget_unless([](const std::string& service) { return service == "t"; });
+    expect_plan("s", 90);
+    EXPECT_EQ(planner.computed_count(), count + 4);
+}
+
 } // namespace
 } // namespace ospreystair::routing
