--- a/source/http/reply_parser.cpp
+++ b/source/http/reply_parser.cpp
@@ -30,11 +30,11 @@
     constexpr std::size_t max_kept_bytes = 1024;
     field_storage result;
     if (m_field_text.capacity() <= max_kept_bytes)
-        result.text = std::move(m_field_text);
+        result.m_text = std::move(m_field_text);
     if (m_fields.capacity() * sizeof(field_position) <= max_kept_bytes)
-        result.positions = std::move(m_fields);
-    result.text.clear();
-    result.positions.clear();
+        result.m_positions = std::move(m_fields);
+    result.m_text.clear();
+    result.m_positions.clear();
     m_field_text.clear();
     m_fields.clear();
     return result;
--- a/source/http/reply_parser.hpp
+++ b/source/http/reply_parser.hpp
@@ -41,13 +41,13 @@
     private:
         friend reply_parser;
 
-        std::string text;
-        std::vector<field_position> positions;
+        std::string m_text;
+        std::vector<field_position> m_positions;
     };
 
     reply_parser() = default;
     explicit reply_parser(field_storage storage)
-        : m_field_text(std::move(storage.text)), m_fields(std::move(storage.positions))
+        : m_field_text(std::move(storage.m_text)), m_fields(std::move(storage.m_positions))
     {
     }
 
