--- a/source/teams/team_directory.cpp
+++ b/source/teams/team_directory.cpp
@@ -2,6 +2,7 @@
 
 #include "teams/team_directory.hpp"
 
+#include <algorithm>
 #include <cmath>
 #include <utility>
 
@@ -21,6 +22,20 @@
     return base::fingerprint::of({salt, text});
 }
 
+// A control character would let a name add header fields; outer blanks are lost on the way.
+bool is_field_value(std::string_view text)
+{
+    const auto is_control = [](char each)
+    {
+        constexpr unsigned char first_printable = 0x20;
+        constexpr unsigned char delete_character = 0x7f;
+        const auto value = static_cast<unsigned char>(each);
+        return value < first_printable || value == delete_character;
+    };
+    return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
+           std::none_of(text.begin(), text.end(), is_control);
+}
+
 bool check_team(const team_definition& item, base::error& reason)
 {
     const auto reject = [&](const char* problem)
@@ -32,6 +47,10 @@
     const request_quota& quota = item.properties.quota;
     if (item.properties.name.empty())
         return reject("the name is empty; name the team");
+    if (item.properties.name.size() > team_directory::max_name_bytes ||
+        !is_field_value(item.properties.name))
+        return reject("the name is longer than 256 bytes, has control characters, or begins or "
+                      "ends with a blank; choose another");
     if (!std::isfinite(quota.requests_per_second) || quota.requests_per_second < 0 ||
         !std::isfinite(quota.burst) || quota.burst < 0)
         return reject("the rate and the burst must be finite and not below 0");
--- a/source/teams/team_directory.hpp
+++ b/source/teams/team_directory.hpp
@@ -32,9 +32,12 @@
 public:
     /// Longest key that a caller may send.
     static constexpr std::size_t max_key_bytes = 256;
+    /// Longest name of a team, which replicas get as a header field.
+    static constexpr std::size_t max_name_bytes = 256;
 
-    /// Fails with invalid_argument when a name or key is empty, too long or used twice, or when a
-    /// quota is out of range. Messages never contain a key.
+    /// Fails with invalid_argument when a name or key is empty, too long or used twice, when a name
+    /// cannot be sent as a header field, or when a quota is out of range. Messages never contain a
+    /// key.
     static std::optional<team_directory> create(std::vector<team_definition> definitions,
                                                 base::error& reason);
 
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -272,9 +272,13 @@
     }
     else if (!behaviour.refuses)
         ++m_executions[std::string(message["Request-Id"])];
+    std::string fields;
+    for (const auto& item : message)
+        fields += std::string(item.name_string()) + ": " + std::string(item.value()) + "\n";
     m_request_arrivals.push_back({std::chrono::steady_clock::now(),
                                   std::string(message["Request-Id"]), client_session.sender,
-                                  behaviour.refuses && !behaviour.retry_after.empty()});
+                                  behaviour.refuses && !behaviour.retry_after.empty(),
+                                  std::move(fields)});
     return behaviour;
 }
 
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -69,6 +69,8 @@
     std::string sender;
     /// Whether it was refused with a time for which the replica wants no requests.
     bool has_closed = false;
+    /// The header fields as received, a line each.
+    std::string fields = {};
 };
 
 /// A crash under a request.
--- a/tests/unit/teams_directory_test.cpp
+++ b/tests/unit/teams_directory_test.cpp
@@ -49,5 +49,15 @@
     EXPECT_FALSE(team_directory::create({negative}, reason));
 }
 
+// Guards against names that add header fields to requests, or that other VMs do not find again.
+TEST(team_directory_test, names_that_cannot_be_header_fields_are_refused)
+{
+    base::error reason;
+    for (const std::string& name : {std::string("a\r\nX: 1"), std::string("a\tb"),
+                                    std::string(" a"), std::string("a "), std::string(257, 'n')})
+        EXPECT_FALSE(team_directory::create({make_team(name, {"key"})}, reason)) << name;
+    EXPECT_TRUE(team_directory::create({make_team("caf\xc3\xa9 north", {"key"})}, reason));
+}
+
 } // namespace
 } // namespace ospreystair::teams
