Forwarding: Share waiting connections between teams

Cause: parts that wait for a connection were ordered by priority and arrival, so that a team with many times its usual requests took every connection before the others'. Change: forwarding/waiting_parts orders by the team's priority, the route's, then by turns between teams. The turns are those of admission_queue, moved to base/fair_order and used by both.

--- a/source/admission/admission_queue.hpp
+++ b/source/admission/admission_queue.hpp
@@ -20,6 +20,7 @@
 
 #include "base/clock.hpp"
 #include "base/error.hpp"
+#include "base/fair_order.hpp"
 
 namespace ospreystair::admission
 {
@@ -89,25 +90,20 @@
     {
         const std::scoped_lock lock(m_mutex);
         decay_rate(m_clock.now());
-        const auto service = find_least_virtual_time(
-            m_services,
-            [&](const auto& each) { return !each.second.callers.empty() && can_run(each.first); });
-        if (service == m_services.end())
+        const auto name = m_service_order.next(can_run);
+        if (!name)
             return std::nullopt;
-        auto& callers = service->second.callers;
-        const auto caller = find_least_virtual_time(callers, [](const auto& each)
-                                                    { return !each.second.requests.empty(); });
-        waiting_request request = std::move(caller->second.requests.begin()->second);
-        caller->second.requests.erase(caller->second.requests.begin());
-        --m_size;
-        m_waiting_cost -= request.cost;
-        m_virtual_time = std::max(m_virtual_time, service->second.virtual_time);
-        service->second.last_served_virtual_time =
-            std::max(service->second.last_served_virtual_time, caller->second.virtual_time);
-        service->second.virtual_time += request.cost / weight_of(request.service);
-        caller->second.virtual_time += request.cost;
-        if (caller->second.requests.empty())
-            remove_caller(service->second, caller);
+        service_state& service = m_services.at(*name);
+        const auto caller = service.callers.find(*service.order.next());
+        request_map& requests = caller->second;
+        waiting_request request = requests.begin()->second;
+        erase_request(requests, requests.begin());
+        m_service_order.record_served(*name, request.cost / weight_of(*name));
+        service.order.record_served(caller->first, request.cost);
+        if (requests.empty())
+            remove_caller(service, caller);
+        if (service.callers.empty())
+            m_service_order.leave(*name);
         return request;
     }
 
@@ -168,35 +164,14 @@
 private:
     using request_map = std::multimap<base::time_point, waiting_request>;
 
-    struct caller_state
-    {
-        // Invariant: not empty outside of the functions that change it; ordered by deadline.
-        request_map requests;
-        double virtual_time = 0;
-    };
-
     struct service_state
     {
-        std::map<std::string, caller_state> callers;
-        double virtual_time = 0;
-        // Virtual time of the caller served last; new callers start from it.
-        double last_served_virtual_time = 0;
-        // Virtual times of callers without waiting requests, so that a caller gains no priority by
-        // leaving the queue and coming back.
-        std::map<std::string, double> departed_callers;
+        // Invariant: no caller's requests are empty outside of the functions that change them;
+        // `order` holds the same callers.
+        std::map<std::string, request_map> callers;
+        base::fair_order<std::string> order;
     };
 
-    template<class Map, class Predicate>
-    static auto find_least_virtual_time(Map& entries, Predicate is_eligible)
-    {
-        auto best = entries.end();
-        for (auto position = entries.begin(); position != entries.end(); ++position)
-            if (is_eligible(*position) && (best == entries.end() || position->second.virtual_time <
-                                                                        best->second.virtual_time))
-                best = position;
-        return best;
-    }
-
     double weight_of(const std::string& service) const
     {
         const auto position = m_settings.service_weights.find(service);
@@ -206,33 +181,17 @@
     void insert(const waiting_request& request)
     {
         service_state& service = m_services[request.service];
-        if (service.callers.empty())
-            service.virtual_time = std::max(service.virtual_time, m_virtual_time);
-        const auto [caller, is_new] = service.callers.try_emplace(request.caller);
-        if (is_new)
-        {
-            const auto departed = service.departed_callers.find(request.caller);
-            caller->second.virtual_time = service.last_served_virtual_time;
-            if (departed != service.departed_callers.end())
-            {
-                caller->second.virtual_time =
-                    std::max(service.last_served_virtual_time, departed->second);
-                service.departed_callers.erase(departed);
-            }
-        }
-        caller->second.requests.emplace(request.deadline, request);
+        m_service_order.join(request.service);
+        service.order.join(request.caller);
+        service.callers[request.caller].emplace(request.deadline, request);
         ++m_size;
         m_waiting_cost += request.cost;
     }
 
     auto remove_caller(service_state& service,
-                       typename std::map<std::string, caller_state>::iterator caller)
+                       typename std::map<std::string, request_map>::iterator caller)
     {
-        // Callers up to this virtual time would be treated like new callers, so they are not kept.
-        std::erase_if(service.departed_callers, [&](const auto& each)
-                      { return each.second <= service.last_served_virtual_time; });
-        if (caller->second.virtual_time > service.last_served_virtual_time)
-            service.departed_callers[caller->first] = caller->second.virtual_time;
+        service.order.leave(caller->first);
         return service.callers.erase(caller);
     }
 
@@ -250,11 +209,11 @@
         std::size_t own_count = 0;
         std::size_t largest_count = 0;
         service_state* largest_service = nullptr;
-        typename std::map<std::string, caller_state>::iterator largest_caller;
+        typename std::map<std::string, request_map>::iterator largest_caller;
         for (auto& [name, service] : m_services)
             for (auto caller = service.callers.begin(); caller != service.callers.end(); ++caller)
             {
-                const std::size_t request_count = caller->second.requests.size();
+                const std::size_t request_count = caller->second.size();
                 if (name == request.service && caller->first == request.caller)
                     own_count = request_count;
                 if (request_count > largest_count)
@@ -266,7 +225,7 @@
             }
         if (!largest_service || largest_count < own_count + 2)
             return false;
-        auto& requests = largest_caller->second.requests;
+        auto& requests = largest_caller->second;
         const auto latest = std::prev(requests.end());
         displaced = latest->second.id;
         erase_request(requests, latest);
@@ -317,7 +276,7 @@
                     ++flows;
                     continue;
                 }
-                for (const auto& [deadline, waiting] : caller.requests)
+                for (const auto& [deadline, waiting] : caller)
                     if (deadline <= request.deadline)
                         own_cost += waiting.cost;
             }
@@ -344,9 +303,10 @@
     {
         std::vector<std::uint64_t> taken;
         for (auto& [name, service] : m_services)
+        {
             for (auto caller = service.callers.begin(); caller != service.callers.end();)
             {
-                auto& requests = caller->second.requests;
+                auto& requests = caller->second;
                 std::uint64_t cost = 0;
                 for (auto each = requests.begin(); each != requests.end();)
                 {
@@ -361,6 +321,9 @@
                 }
                 caller = requests.empty() ? remove_caller(service, caller) : std::next(caller);
             }
+            if (service.callers.empty())
+                m_service_order.leave(name);
+        }
         return taken;
     }
 
@@ -397,9 +360,10 @@
     // All below are guarded by m_mutex. Invariant: m_size and m_waiting_cost are the number and the
     // total cost of the waiting requests.
     std::map<std::string, service_state> m_services;
+    // Services with waiting requests.
+    base::fair_order<std::string> m_service_order;
     std::size_t m_size = 0;
     std::uint64_t m_waiting_cost = 0;
-    double m_virtual_time = 0;
     double m_completed_cost = 0;
     // Seconds during which requests waited, decayed like m_completed_cost.
     double m_observed_s = 0;
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -8,7 +8,6 @@
 #include <algorithm>
 #include <chrono>
 #include <concepts>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -29,6 +28,7 @@
 #include "forwarding/route_knowledge.hpp"
 #include "forwarding/traffic_split.hpp"
 #include "forwarding/trial_register.hpp"
+#include "forwarding/waiting_parts.hpp"
 #include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
@@ -382,13 +382,11 @@
     void wait_for_connection(const std::string& service, const std::shared_ptr<run_type>& run,
                              std::size_t part)
     {
-        std::deque<waiting_part>& queue = m_waiting[service];
-        if (queue.size() >= prune_threshold)
-            std::erase_if(queue, [](const waiting_part& each) { return each.run.expired(); });
-        const auto first_less_urgent = std::find_if(queue.begin(), queue.end(),
-                                                    [&](const waiting_part& other)
-                                                    { return other.priority > run->priority(); });
-        queue.insert(first_less_urgent, waiting_part{run, part, run->priority()});
+        typename waiting_parts<run_type>::entry item{run, part, run->rank(), run->team_name()};
+        if (m_resumed.run != run.get() || m_resumed.part != part)
+            return m_waiting[service].add(std::move(item));
+        m_resumed = {};
+        m_waiting[service].put_back(std::move(item));
     }
 
     /// Drops the attempts of an answered request that have not ended after `drop_delay`.
@@ -473,15 +471,13 @@
     }
 
 private:
-    struct waiting_part
+    // A waiting part that has just been offered a connection.
+    struct resumed_part
     {
-        std::weak_ptr<run_type> run;
+        const run_type* run = nullptr;
         std::size_t part = 0;
-        int priority = 0;
     };
 
-    // Queue length at which parts of answered requests are removed before another part is added.
-    static constexpr std::size_t prune_threshold = 32;
     // The wait is between these fractions of the deadline: at most a third of the remaining time.
     static constexpr int min_retry_after_divisor = 10;
     static constexpr int max_retry_after_divisor = 4;
@@ -662,28 +658,24 @@
         resume_waiting(given_up->target->registry_entry().service);
     }
 
-    // Offers free connections to waiting parts, the most urgent first. A part that finds no
-    // connection adds itself to the queue again.
+    // Offers free connections to waiting parts in their order, until one finds none and adds itself
+    // to the queue again.
     void resume_waiting(const std::string& service)
     {
-        const auto found = m_waiting.find(service);
-        if (found == m_waiting.end())
-            return;
-        std::deque<waiting_part> queue = std::move(found->second);
-        m_waiting.erase(found);
-        while (!queue.empty())
+        while (m_waiting.contains(service))
         {
-            const waiting_part first = queue.front();
-            queue.pop_front();
-            if (const auto run = first.run.lock(); run && !run->is_finished())
-                run->on_connection_available(first.part);
-            if (m_waiting.contains(service))
-                break;
+            const auto first = m_waiting[service].take();
+            if (m_waiting[service].is_empty())
+                m_waiting.erase(service);
+            const auto run = first ? first->run.lock() : nullptr;
+            if (!run || run->is_finished())
+                continue;
+            m_resumed = {run.get(), first->part};
+            run->on_connection_available(first->part);
+            if (!m_resumed.run)
+                return;
+            m_resumed = {};
         }
-        if (queue.empty())
-            return;
-        std::deque<waiting_part>& rest = m_waiting[service];
-        rest.insert(rest.end(), queue.begin(), queue.end());
     }
 
     const Clock& m_clock;
@@ -706,7 +698,10 @@
     std::map<std::string, traffic_split> m_splits;
     // By service.
     std::unordered_map<std::string, repeat_budget> m_budgets;
-    std::unordered_map<std::string, std::deque<waiting_part>> m_waiting;
+    // Invariant: no entry is empty.
+    std::unordered_map<std::string, waiting_parts<run_type>> m_waiting;
+    // Set only while the part is offered a connection.
+    resumed_part m_resumed;
     routing::crash_ledger m_crashes;
     trial_register<run_type> m_trials;
 };
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -26,6 +26,7 @@
 #include "forwarding/route_table.hpp"
 #include "forwarding/straggler_rule.hpp"
 #include "forwarding/timer_queue.hpp"
+#include "forwarding/waiting_parts.hpp"
 #include "routing/crash_ledger.hpp"
 #include "routing/deadline_budget.hpp"
 #include "teams/team.hpp"
@@ -162,10 +163,16 @@
     const route& rule() const { return m_route; }
     std::uint64_t version() const { return m_table->version(); }
     bool is_finished() const { return m_is_finished; }
-    int priority() const
+    urgency rank() const
     {
-        return m_request.team ? m_request.team->priority.value_or(m_route.priority)
-                              : m_route.priority;
+        const int own = m_route.priority;
+        return {m_request.team ? m_request.team->priority.value_or(own) : own, own};
+    }
+    /// Empty for requests without a team.
+    const std::string& team_name() const
+    {
+        static const std::string none;
+        return m_request.team ? m_request.team->name : none;
     }
 
 private:
