Platform: Count requests by team and name the team in log lines

Cause: neither logs nor metrics told which team was served or refused. Change: answers and refusals carry the team, and ospreystair_team_requests_total counts them by the largest teams (teams/largest_teams, at most 64 names) and the rest.

--- a/tests/gateway/gateway_team_test.cpp
+++ b/tests/gateway/gateway_team_test.cpp
@@ -163,6 +163,26 @@
     EXPECT_EQ(received.front().find(key_mark), std::string::npos);
 }
 
+// Guards against refusals that an operator cannot trace to the caller's team or key.
+TEST_F(gateway_team_test, logs_and_metrics_name_the_team)
+{
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.refuses = true; });
+    EXPECT_EQ(send(audit_key, 0, "/one/q", "turned-away").status, 503U);
+    EXPECT_EQ(send("", 0, "/one/q", "no-key").status, 401U);
+    for (int index = 0; index < 64; ++index)
+        send(audit_key);
+    const std::string log = m_fleet.log(0);
+    const auto line = [&log](const std::string& id)
+    {
+        const std::size_t at = log.find("\"request\":\"" + id + "\",\"route\"");
+        return at == std::string::npos ? std::string() : log.substr(at, log.find('\n', at) - at);
+    };
+    EXPECT_NE(line("turned-away").find("\"team\":\"audit\""), std::string::npos) << log;
+    EXPECT_NE(log.find("the caller's key is not valid"), std::string::npos);
+    EXPECT_NE(m_fleet.metrics(0).find("ospreystair_team_requests_total{team=\"audit\","),
+              std::string::npos);
+}
+
 // Guards against a VM that keeps the keys of an older configuration.
 TEST_F(gateway_team_test, keys_follow_the_configuration)
 {
