Forwarding: Estimate the deadlines of first requests for each team

The estimate of what a caller's earlier requests have used was one for each route. A caller with a long deadline, also one longer than the route's timeout, raised it for hundreds of requests, and other callers' queries were answered before their last parts were in. Change: one estimate a team, which counts deadlines up to the route's timeout only.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -126,7 +126,8 @@
         std::shared_ptr<route_knowledge>& statistics = m_statistics[rule.name];
         if (!statistics)
             statistics = std::make_shared<route_knowledge>();
-        request.time_used = statistics->record_deadline(request.deadline);
+        request.time_used = statistics->record_deadline(
+            request.team ? request.team->name : std::string(), request.deadline, rule.timeout);
         auto run = std::make_shared<run_type>(*this, std::move(request), m_table, rule, statistics,
                                               std::move(on_answer));
         if (rule.is_gather())
--- a/source/forwarding/route_knowledge.hpp
+++ b/source/forwarding/route_knowledge.hpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <map>
+#include <string>
 
 #include "forwarding/latency_window.hpp"
 #include "forwarding/replica.hpp"
@@ -41,16 +43,19 @@
 
     /// Records a request's deadline, and returns the estimated time that earlier requests of the
     /// caller have used: a caller that retries sends a deadline shorter than that of its first
-    /// request.
-    base::duration record_deadline(std::chrono::milliseconds deadline)
+    /// request. Each team has an estimate of its own, so that long deadlines of one do not shorten
+    /// the time for others' answers. What exceeds `longest` is not counted.
+    base::duration record_deadline(const std::string& team, std::chrono::milliseconds deadline,
+                                   std::chrono::milliseconds longest)
     {
-        if (deadline >= m_first_attempt_deadline)
-            m_first_attempt_deadline = deadline;
+        deadline = std::min(deadline, longest);
+        std::chrono::milliseconds& first_deadline = m_first_attempt_deadlines[team];
+        if (deadline >= first_deadline)
+            first_deadline = deadline;
         else
             // Decays, so that a rare long deadline has no effect after some hundred requests.
-            m_first_attempt_deadline -=
-                (m_first_attempt_deadline - deadline) / deadline_decay_divisor;
-        return m_first_attempt_deadline - deadline;
+            first_deadline -= (first_deadline - deadline) / deadline_decay_divisor;
+        return first_deadline - deadline;
     }
 
 private:
@@ -66,7 +71,8 @@
     static constexpr int deadline_decay_divisor = 50;
 
     latency_window m_latencies;
-    std::chrono::milliseconds m_first_attempt_deadline{0};
+    // By team; empty for requests without one.
+    std::map<std::string, std::chrono::milliseconds> m_first_attempt_deadlines;
 };
 
 } // namespace ospreystair::forwarding
--- a/tests/unit/forwarding_fairness_test.cpp
+++ b/tests/unit/forwarding_fairness_test.cpp
@@ -131,5 +131,37 @@
     EXPECT_EQ(std::count(m_served.begin(), m_served.begin() + 6, "first"), 4);
 }
 
+// Guards against a long deadline of one caller that shortens the time for others' answers, so that
+// they miss the parts that come last.
+TEST_F(fairness_test, long_deadline_of_one_caller_costs_others_no_parts)
+{
+    add_replicas({{"a", 1}, {"b", 1}});
+    m_transport.behaviours["b1"].latency = 60ms;
+    adopt(gather({"a", "b"}, 0.5));
+    const auto ask = [this](const std::shared_ptr<const teams::team>& team, milliseconds deadline)
+    {
+        caller_request<message> request;
+        request.id = "id";
+        request.message = std::make_shared<const message>();
+        request.deadline = deadline;
+        request.team = team;
+        int missing = -1;
+        const auto run = m_dispatcher.submit(
+            std::move(request), m_dispatcher.table()->routes().front(),
+            [&missing](const answer& result) { missing = static_cast<int>(result.missing_parts); });
+        run_for(1200ms);
+        return missing;
+    };
+    EXPECT_EQ(ask(make_team("patient"), 1000ms), 0);
+    // Longer than the route allows, and as long as it allows.
+    for (const milliseconds deadline : {3'600'000ms, 1'000ms})
+    {
+        EXPECT_EQ(ask(nullptr, deadline), 0);
+        EXPECT_EQ(ask(nullptr, 1'000ms), 0);
+        EXPECT_EQ(ask(make_team("patient"), deadline), 0);
+        EXPECT_EQ(ask(make_team("brief"), 500ms), 0);
+    }
+}
+
 } // namespace
 } // namespace ospreystair::forwarding
