Pace: Let the answers of a replica that returns set its share of the work

A cold replica cost a constant 1.5 times as much in the choice. As equal replicas are chosen within 15% of each other, each VM left it idle while its neighbours had room, and all VMs came back together at the end of its warm-up, however fast or slow it answered. A replica that came back from a crash or a silence without a new registry entry got its full share at once.

Now a share of the usual work starts low, rises with answers in time and free slots, and falls with late answers, refusals and reported queues.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -504,6 +504,11 @@
         const double jitter = 1 + cost_jitter * (choose_fraction() + (is_remote ? 1 : 0));
         base::duration result = std::chrono::duration_cast<base::duration>(
             candidate.expected_time(now, baseline) * jitter);
+        // A replica at reduced pace gets its share of the requests that would otherwise go to it;
+        // the rest only when its neighbours would answer later.
+        const double share = candidate.pace().share(now);
+        if (share < 1 && choose_fraction() >= share)
+            result = std::chrono::duration_cast<base::duration>(result / share);
         if (availability == connection_availability::new_connection)
             result += connect_time;
         if (is_remote)
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -23,8 +23,6 @@
 constexpr double latency_ratio_weight = 0.3;
 // Slow phases last 5 to 10 s: a replica that was slow gets requests again after a few seconds.
 constexpr double latency_ratio_half_life_s = 4.0;
-// Latency factor of a replica that has just started, corrected by its first replies.
-constexpr double warm_up_factor = 1.5;
 // Cost of a failed attempt until another replica has answered, in median latencies.
 constexpr double failure_cost = 4.0;
 // Cost of a refused attempt, in median latencies: the refusal comes at once, but each repeat uses
@@ -69,14 +67,24 @@
 void replica::update(registration registry_entry, base::time_point now)
 {
     const bool was_draining = m_registry_entry.is_draining;
+    // An entry that is read again says nothing new.
+    const bool is_news = m_registry_entry != registry_entry;
     m_registry_entry = std::move(registry_entry);
     // A replica that drains stops; an entry that says otherwise is older.
     m_registry_entry.is_draining = m_registry_entry.is_draining || was_draining;
-    m_warm_up_end = now + m_registry_entry.warm_up_left;
+    if (is_news)
+        record_warm_up(m_registry_entry.warm_up_left, now);
     m_is_listed = true;
     m_is_unconfirmed = false;
 }
 
+void replica::record_warm_up(std::chrono::milliseconds left, base::time_point now)
+{
+    if (left > left.zero() && !is_cold(now))
+        m_pace.restart(now);
+    m_warm_up_end = now + left;
+}
+
 void replica::record_sent(base::time_point sent_at)
 {
     m_outstanding.push_back(sent_at);
@@ -98,6 +106,11 @@
 {
     remove_outstanding(sent_at);
     m_last_contact = now;
+    const bool was_silent =
+        m_silent_since &&
+        now - *m_silent_since > std::max<base::duration>(max_pause, baseline.overdue_after);
+    if (was_silent)
+        m_pace.restart(now);
     m_silent_since = m_outstanding.empty() ? std::nullopt : std::optional(now);
     m_failure_rate.record(is_failure, now);
     m_refusal_rate.record(false, now);
@@ -106,6 +119,9 @@
     m_is_reopening = now < m_closed_until;
     m_backoff_count = 0;
     m_avoid_until = now;
+    // The answer after a silence says how long it was, not how fast the replica is now.
+    if (!was_silent)
+        m_pace.record_answer(now - sent_at > baseline.overdue_after, now);
     update_latency_ratio(now - sent_at, now, baseline);
 }
 
@@ -126,6 +142,7 @@
     m_last_contact = now;
     m_silent_since = m_outstanding.empty() ? std::nullopt : std::optional(now);
     m_refusal_rate.record(true, now);
+    m_pace.record_refusal(now);
     back_off(now, initial_refusal_backoff);
 }
 
@@ -169,6 +186,7 @@
 {
     m_load = report;
     m_load_at = now;
+    m_pace.record_load(report.running, report.waiting, std::max(1U, m_registry_entry.slots), now);
 }
 
 void replica::record_connect_failure(base::time_point now)
@@ -228,8 +246,6 @@
     constexpr double concurrency_cost = 0.15;
     double factor =
         latency_ratio(now) * (1 + waiting + concurrency_cost * std::min(ahead, slots) / slots);
-    if (now < m_warm_up_end)
-        factor *= warm_up_factor;
     if (m_load_at && now - *m_load_at < max_pause)
         factor *= std::max(1.0, m_load.slowdown);
     factor += failure_cost * m_failure_rate.value(now) + refusal_cost * m_refusal_rate.value(now);
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -12,6 +12,7 @@
 #include "base/clock.hpp"
 #include "forwarding/event_rate.hpp"
 #include "forwarding/registration.hpp"
+#include "forwarding/replica_pace.hpp"
 #include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
@@ -123,6 +124,8 @@
     void record_rejection(base::time_point now) { m_last_failure = now; }
     void record_connected(base::time_point now)
     {
+        if (is_unreachable())
+            m_pace.restart(now);
         m_connect_failures = 0;
         m_last_contact = now;
     }
@@ -132,6 +135,12 @@
     /// Time of the next connection attempt after failures.
     base::time_point reconnect_at() const { return m_reconnect_at; }
 
+    /// Records that the replica stays cold for `left`; 0 when it is warm.
+    void record_warm_up(std::chrono::milliseconds left, base::time_point now);
+    bool is_cold(base::time_point now) const { return now < m_warm_up_end; }
+    /// How much of its usual work the replica should get now.
+    const replica_pace& pace() const { return m_pace; }
+
     std::size_t outstanding() const { return m_outstanding.size(); }
     /// When the last attempt without a reply was sent, or the last connection failed.
     base::time_point last_failure() const { return m_last_failure; }
@@ -180,8 +189,9 @@
     bool m_is_reopening = false;
     // Present while the replica names a limit on its requests.
     std::optional<routing::rate_share> m_rate_share;
-    // End of the slow phase after the replica's start.
+    // End of the slow phase after the replica's start, by the newest statement of the replica.
     base::time_point m_warm_up_end{};
+    replica_pace m_pace;
     // Send times of outstanding attempts, oldest first.
     std::vector<base::time_point> m_outstanding;
     base::time_point m_last_contact;
