Pace: Keep all VMs together within the limit of a cold replica

A service may name the requests a second that its cold replicas take from all VMs; nothing read it. routing/rate_share now also takes a bound for each second: its permits live so short that those of one second and one lifetime before it stay within the bound, whatever the fleet's size. A VM that is not listed yet sends nothing under such a limit.

--- a/source/forwarding/attempt.hpp
+++ b/source/forwarding/attempt.hpp
@@ -77,6 +77,8 @@
     /// Requests a second that the replica takes from all VMs together; empty when it takes any
     /// number.
     std::optional<double> request_limit;
+    /// How long the replica stays cold, as far as it says so; 0 when it is warm.
+    std::optional<std::chrono::milliseconds> warm_up_left;
     /// With `not_sent`: the replica has reached its connection limit.
     bool is_connection_rejected = false;
     /// With `lost`: the replica accepts no connections since, so that its process has ended.
--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -56,6 +56,13 @@
     transport.drop(next);
 };
 
+/// How far all VMs together may exceed a service's limit for cold replicas in one second.
+struct warm_up_limits
+{
+    double factor = 1;
+    double slack = 0;
+};
+
 /// Settings of a dispatcher.
 struct dispatcher_settings
 {
@@ -64,6 +71,7 @@
     std::string data_centre;
     /// Region of each data centre.
     std::map<std::string, std::string> regions = {};
+    warm_up_limits warm_up = {};
 };
 
 /// `Observer` is notified of hedges, hedges that are not sent, and failed attempts. Not
@@ -95,11 +103,11 @@
         m_table = std::move(table);
         m_splits.clear();
         m_shards = m_table->shard_services();
+        limit_cold_replicas();
     }
 
     const std::shared_ptr<const route_table>& table() const { return m_table; }
     /// Sets this VM's place among the VMs that share the limits.
-    void set_fleet_position(const routing::fleet_position& position) { m_position = position; }
     /// Sets how many of the VMs gather the queries over many shards, and whether this one does.
     void set_gatherers(std::size_t count, bool is_gatherer)
     {
@@ -116,6 +124,24 @@
         static const std::vector<std::string> all;
         return {m_settings.regions, rule.home_regions, team ? team->home_regions : all};
     }
+    void set_fleet_position(const routing::fleet_position& position)
+    {
+        m_position = position;
+        limit_cold_replicas();
+    }
+    void set_warm_up_limits(const warm_up_limits& limits)
+    {
+        m_settings.warm_up = limits;
+        limit_cold_replicas();
+    }
+    /// Must be called for each replica that is added to the directory.
+    void on_replica_added(replica& added)
+    {
+        const service_limits* const limits =
+            m_table ? m_table->find_service(added.registry_entry().service) : nullptr;
+        if (limits)
+            added.set_warm_up_limit(make_warm_up_limit(*limits), m_position, m_clock.now());
+    }
     void set_repeat_limits(const repeat_limits& limits) { m_settings.repeats = limits; }
 
     /// Starts a request on a route of `table()`. `on_answer` is called exactly once, possibly
@@ -525,6 +551,25 @@
             m_position.vm_count, m_shards.contains(service) ? m_gatherer_count : 0, m_is_gatherer);
     }
 
+    void limit_cold_replicas()
+    {
+        if (!m_table)
+            return;
+        for (const service_limits& limits : m_table->services())
+            for (const std::shared_ptr<replica>& known : m_directory.replicas_of(limits.name))
+                known->set_warm_up_limit(make_warm_up_limit(limits), m_position, m_clock.now());
+    }
+
+    // Empty when the service's cold replicas take any number of requests.
+    std::optional<routing::rate_limit> make_warm_up_limit(const service_limits& limits) const
+    {
+        const double rate = limits.warm_up_requests_per_second;
+        if (rate <= 0)
+            return std::nullopt;
+        return routing::rate_limit{rate,
+                                   rate * m_settings.warm_up.factor + m_settings.warm_up.slack};
+    }
+
     repeat_budget& budget_of(const std::string& service)
     {
         const auto found = m_budgets.find(service);
@@ -628,6 +673,8 @@
             m_observer.on_replica_leaving(target);
         }
         record_request_limit(target, result);
+        if (result.warm_up_left)
+            target.record_warm_up(*result.warm_up_left, m_clock.now());
         if (result.closed_for)
         {
             target.record_closed(m_clock.now() + *result.closed_for);
--- a/source/forwarding/replica.cpp
+++ b/source/forwarding/replica.cpp
@@ -90,6 +90,8 @@
     m_outstanding.push_back(sent_at);
     if (m_rate_share)
         m_rate_share->record_request(sent_at);
+    if (m_warm_up_share && is_cold(sent_at))
+        m_warm_up_share->record_request(sent_at);
     if (!m_silent_since)
         m_silent_since = sent_at;
 }
@@ -161,6 +163,27 @@
         m_rate_share.emplace(requests_per_second, position, now);
 }
 
+void replica::set_warm_up_limit(const std::optional<routing::rate_limit>& limit,
+                                const routing::fleet_position& position, base::time_point now)
+{
+    if (!limit)
+        m_warm_up_share.reset();
+    else if (m_warm_up_share)
+        m_warm_up_share->update(*limit, position, now);
+    else
+        m_warm_up_share.emplace(*limit, position, now);
+}
+
+base::time_point replica::reopens_at(base::time_point now) const
+{
+    base::time_point result = m_closed_until;
+    if (m_rate_share)
+        result = std::max(result, m_rate_share->next(now));
+    if (m_warm_up_share && is_cold(now))
+        result = std::max(result, std::min(m_warm_up_end, m_warm_up_share->next(now)));
+    return result;
+}
+
 void replica::record_connection_loss(base::time_point sent_at, base::time_point now)
 {
     remove_outstanding(sent_at);
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -97,13 +97,11 @@
     bool is_closed(base::time_point now) const
     {
         return now < m_closed_until || (m_is_reopening && !m_outstanding.empty()) ||
-               (m_rate_share && !m_rate_share->allows_request(now));
+               (m_rate_share && !m_rate_share->allows_request(now)) ||
+               (m_warm_up_share && is_cold(now) && !m_warm_up_share->allows_request(now));
     }
     /// When a closed replica takes a request again.
-    base::time_point reopens_at(base::time_point now) const
-    {
-        return m_rate_share ? std::max(m_closed_until, m_rate_share->next(now)) : m_closed_until;
-    }
+    base::time_point reopens_at(base::time_point now) const;
 
     /// Records that the replica takes `requests_per_second` from all VMs together, of which this VM
     /// sends its share.
@@ -113,6 +111,11 @@
     void clear_request_limit() { m_rate_share.reset(); }
     bool has_request_limit() const { return m_rate_share.has_value(); }
 
+    /// Sets the requests that the replica takes from all VMs together while it is cold; empty for
+    /// any number.
+    void set_warm_up_limit(const std::optional<routing::rate_limit>& limit,
+                           const routing::fleet_position& position, base::time_point now);
+
     /// Records that another replica answered at this address: this one no longer exists, even if
     /// the registry still lists it.
     void record_replaced() { m_is_replaced = true; }
@@ -189,6 +192,9 @@
     bool m_is_reopening = false;
     // Present while the replica names a limit on its requests.
     std::optional<routing::rate_share> m_rate_share;
+    // Present while the replica's service limits the requests to cold replicas; applies until
+    // m_warm_up_end.
+    std::optional<routing::rate_share> m_warm_up_share;
     // End of the slow phase after the replica's start, by the newest statement of the replica.
     base::time_point m_warm_up_end{};
     replica_pace m_pace;
--- a/source/forwarding/route_table.cpp
+++ b/source/forwarding/route_table.cpp
@@ -165,4 +165,12 @@
     return found == m_route_of_name.end() ? nullptr : &m_routes[found->second];
 }
 
+const service_limits* route_table::find_service(std::string_view name) const
+{
+    const auto found =
+        std::find_if(m_services.begin(), m_services.end(),
+                     [name](const service_limits& each) { return each.name == name; });
+    return found == m_services.end() ? nullptr : &*found;
+}
+
 } // namespace ospreystair::forwarding
--- a/source/forwarding/route_table.hpp
+++ b/source/forwarding/route_table.hpp
@@ -120,6 +120,8 @@
     std::set<std::string> shard_services() const;
     /// Returns the route with this name; null when there is none.
     const route* find_named(std::string_view name) const;
+    /// Returns the limits of the service with this name; null when there are none.
+    const service_limits* find_service(std::string_view name) const;
 
 private:
     static constexpr std::size_t no_route = std::numeric_limits<std::size_t>::max();
--- a/source/routing/rate_share.cpp
+++ b/source/routing/rate_share.cpp
@@ -20,6 +20,7 @@
     result.rank = is_listed ? static_cast<std::size_t>(found - vms.begin())
                             : base::stable_hash(own_vm) % result.vm_count;
     result.epoch = epoch;
+    result.is_listed = is_listed;
     return result;
 }
 
--- a/source/routing/rate_share.hpp
+++ b/source/routing/rate_share.hpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +24,8 @@
     std::size_t rank = 0;
     /// An instant that is about the same on all VMs, as this VM's clock shows it.
     base::time_point epoch{};
+    /// Whether the list has this VM, so that no other one has the same rank.
+    bool is_listed = true;
 
     bool operator==(const fleet_position&) const = default;
 };
@@ -31,6 +35,17 @@
 fleet_position find_fleet_position(const std::string& own_vm, std::vector<std::string> vms,
                                    base::time_point epoch);
 
+/// The rate that an upstream takes from all VMs together.
+struct rate_limit
+{
+    double requests_per_second = 0;
+    /// Most requests in any second, whatever the fleet's size; empty if only the average counts.
+    /// Below 1 it still allows single requests. A VM that is not listed yet gets none.
+    std::optional<double> most_in_one_second = {};
+
+    bool operator==(const rate_limit&) const = default;
+};
+
 /// Guards against this failure: an upstream in need names the rate that it can take, every VM hears
 /// it, and together they go on sending several times as much.
 ///
@@ -47,21 +62,30 @@
 
     /// `requests_per_second` is the limit for all VMs together.
     rate_share(double requests_per_second, const fleet_position& position, base::time_point now)
+        : rate_share(rate_limit{requests_per_second}, position, now)
     {
-        update(requests_per_second, position, now);
+    }
+    rate_share(const rate_limit& limit, const fleet_position& position, base::time_point now)
+    {
+        update(limit, position, now);
     }
 
     /// Adopts another limit or position.
     void update(double requests_per_second, const fleet_position& position, base::time_point now)
     {
-        if (requests_per_second == m_requests_per_second && position == m_position)
+        update(rate_limit{requests_per_second}, position, now);
+    }
+    void update(const rate_limit& limit, const fleet_position& position, base::time_point now)
+    {
+        if (m_limit == limit && position == m_position)
             return;
-        m_requests_per_second = requests_per_second;
+        m_limit = limit;
         m_position = position;
-        const double rate = std::max(requests_per_second, min_requests_per_second);
+        const permit_schedule schedule = plan_permits(limit);
+        const double rate = schedule.permits_per_second;
         const auto vm_count = static_cast<double>(std::max<std::size_t>(1, position.vm_count));
         m_interval = to_duration(vm_count / rate);
-        m_lifetime = to_duration(base_lifetime_s + extra_requests / rate);
+        m_lifetime = to_duration(schedule.lifetime_s);
         const base::time_point first =
             position.epoch + to_duration(static_cast<double>(position.rank) / rate);
         m_next = first + (now - first) / m_interval * m_interval;
@@ -72,6 +96,8 @@
     /// When the next request may be sent; not after `now` if one may be sent now.
     base::time_point next(base::time_point now) const
     {
+        if (is_excluded())
+            return now + exclusion_check_time;
         const base::time_point oldest = now - m_lifetime;
         if (m_next >= oldest)
             return m_next;
@@ -82,7 +108,11 @@
     bool allows_request(base::time_point now) const { return next(now) <= now; }
 
     /// Uses a permit. A request that was sent without one delays the next permit.
-    void record_request(base::time_point now) { m_next = next(now) + m_interval; }
+    void record_request(base::time_point now)
+    {
+        if (!is_excluded())
+            m_next = next(now) + m_interval;
+    }
 
 private:
     // All VMs together hold at most the permits of this time, and a few requests more: otherwise
@@ -95,7 +125,38 @@
         return std::chrono::duration_cast<base::duration>(std::chrono::duration<double>(seconds));
     }
 
-    double m_requests_per_second = -1;
+    struct permit_schedule
+    {
+        double permits_per_second;
+        double lifetime_s;
+    };
+
+    // With a limit for each second, the requests of a second use permits issued in that second and
+    // one lifetime before it.
+    static permit_schedule plan_permits(const rate_limit& limit)
+    {
+        const double rate = std::max(limit.requests_per_second, min_requests_per_second);
+        if (!limit.most_in_one_second)
+            return {rate, base_lifetime_s + extra_requests / rate};
+        const double permits = std::max(1.0, std::floor(*limit.most_in_one_second)) - margin;
+        const double permits_per_second = std::min(rate, permits / (1 + min_lifetime_s));
+        const double lifetime_s =
+            std::min(permits / permits_per_second - 1, base_lifetime_s + extra_requests / rate);
+        return {permits_per_second, lifetime_s};
+    }
+
+    // Any number of VMs may start at once, and none of them has a turn of its own yet.
+    bool is_excluded() const { return m_limit->most_in_one_second && !m_position.is_listed; }
+
+    // When a VM that is not listed looks again for a turn.
+    static constexpr std::chrono::milliseconds exclusion_check_time{250};
+    // Shorter permits of a large fleet would mostly expire unused.
+    static constexpr double min_lifetime_s = 0.25;
+    // Keeps the bound while timestamps are rounded.
+    static constexpr double margin = 0.1;
+
+    // Empty until the first update.
+    std::optional<rate_limit> m_limit;
     fleet_position m_position;
     // Time between two permits of this VM.
     base::duration m_interval{};
--- a/tests/unit/routing_rate_test.cpp
+++ b/tests/unit/routing_rate_test.cpp
@@ -45,13 +45,15 @@
     }
 
     /// Largest number of arrivals in any window.
-    double most_in_window() const
+    double most_in_window() const { return most_within(window); }
+
+    double most_within(base::duration length) const
     {
         std::size_t most = 0;
         std::size_t first = 0;
         for (std::size_t last = 0; last < m_arrivals.size(); ++last)
         {
-            while (m_arrivals[first] + window <= m_arrivals[last])
+            while (m_arrivals[first] + length <= m_arrivals[last])
                 ++first;
             most = std::max(most, last - first + 1);
         }
@@ -106,6 +108,46 @@
     RC_ASSERT(most_in_window() <= tolerated());
 }
 
+// Guards against more requests in one second than a cold upstream bears, whatever the fleet's size
+// and the order in which the VMs want to send.
+RC_GTEST_FIXTURE_PROP(fleet_rate_test, no_second_has_more_than_its_limit, ())
+{
+    const auto vm_count = *rc::gen::inRange<std::size_t>(1, 411);
+    const double rate = *rc::gen::inRange(1, 500) / 10.0;
+    const double most = rate * *rc::gen::inRange(10, 30) / 10.0 + *rc::gen::inRange(1, 10);
+    for (std::size_t vm = 0; vm < vm_count; ++vm)
+        m_shares.emplace_back(rate_limit{rate, most}, fleet_position{vm_count, vm, {}}, m_now);
+    const auto demands = *rc::gen::container<std::vector<int>>(6, rc::gen::inRange(0, 100));
+    for (const int demand : demands)
+        send_for(1s, demand * demand / 200.0);
+    RC_ASSERT(most_within(1s) <= most);
+}
+
+// Guards against a cold upstream that stays idle because each permit expires before its use.
+TEST_F(fleet_rate_test, most_of_the_limit_for_each_second_is_used)
+{
+    for (const std::size_t vm_count : {1U, 9U, 76U, 410U})
+    {
+        m_shares.clear();
+        m_arrivals.clear();
+        for (std::size_t vm = 0; vm < vm_count; ++vm)
+            m_shares.emplace_back(rate_limit{8, 17}, fleet_position{vm_count, vm, {}}, m_now);
+        send_for(30s, 5);
+        EXPECT_LE(most_within(1s), 17);
+        EXPECT_GE(m_arrivals.size(), 0.6 * std::min(8.0, 5.0 * static_cast<double>(vm_count)) * 30);
+    }
+}
+
+// Guards against VMs that start together and each take the whole limit, before they are listed.
+TEST_F(fleet_rate_test, vm_that_is_not_listed_sends_nothing_under_a_limit_for_each_second)
+{
+    const fleet_position unlisted = find_fleet_position("new", {}, {});
+    rate_share share(rate_limit{8, 17}, unlisted, m_now);
+    EXPECT_FALSE(share.allows_request(m_now + 5s));
+    share.update(rate_limit{8, 17}, find_fleet_position("new", {"new"}, {}), m_now);
+    EXPECT_TRUE(share.allows_request(m_now + 5s));
+}
+
 // Guards against a limit of zero after which the VMs never hear that it has ended.
 TEST_F(fleet_rate_test, limit_of_zero_still_allows_a_request_now_and_then)
 {
