--- a/tests/unit/forwarding_return_test.cpp
+++ b/tests/unit/forwarding_return_test.cpp
@@ -52,6 +52,24 @@
         return static_cast<double>(count) / static_cast<double>(m_transport.sent.size());
     }
 
+    /// Returns the share that goes to `ids` in the moments after they are reachable again, over
+    /// many returns.
+    double share_at_first(const std::set<std::string>& ids)
+    {
+        constexpr int returns = 40;
+        double sum = 0;
+        for (int index = 0; index < returns; ++index)
+        {
+            for (const std::string& id : ids)
+                lose(id);
+            share_of({}, 1s);
+            for (const std::string& id : ids)
+                regain(id);
+            sum += share_of(ids, 50ms);
+        }
+        return sum / returns;
+    }
+
     static constexpr int replica_count = 3;
     static constexpr double usual_share = 1.0 / replica_count;
 };
@@ -59,14 +77,27 @@
 // Guards against a full share at once after a crash that the registry did not notice.
 TEST_F(replica_return_test, replica_back_from_a_crash_starts_low_and_is_soon_back_to_its_share)
 {
-    lose("a1");
-    share_of({}, 1s);
-    regain("a1");
-    EXPECT_LT(find("a1")->pace().share(m_clock.now()), 0.5);
-    share_of({"a1"}, 2s);
+    EXPECT_LT(share_at_first({"a1"}), 0.6 * usual_share);
+    share_of({}, 2s);
     EXPECT_GT(share_of({"a1"}, 2s), 0.6 * usual_share);
 }
 
+// Guards against a flood of a data centre's replicas that are reachable again all at once.
+TEST_F(replica_return_test, data_centre_that_is_regained_starts_low)
+{
+    EXPECT_LT(share_at_first({"a1", "a2"}), 0.75 * 2 * usual_share);
+    share_of({}, 2s);
+    EXPECT_GT(share_of({"a1", "a2"}, 2s), 0.6 * 2 * usual_share);
+}
+
+// Guards against a data centre that comes back cold and is idle although it answers in time.
+TEST_F(replica_return_test, data_centre_that_returns_cold_and_answers_in_time_is_not_left_idle)
+{
+    for (const std::string id : {"a1", "a2"})
+        start_again(id, 10s);
+    EXPECT_GT(share_of({"a1", "a2"}, 2s), 0.3 * 2 * usual_share);
+}
+
 // Guards against a replica of a release that stays idle for its whole warm-up although it answers
 // in time.
 TEST_F(replica_return_test, cold_replica_that_answers_in_time_is_not_left_idle)
