--- a/source/forwarding/replica_directory.cpp
+++ b/source/forwarding/replica_directory.cpp
@@ -162,6 +162,18 @@
     return found == m_by_service.end() ? none : found->second;
 }
 
+pace_summary replica_directory::summarize_pace(base::time_point now) const
+{
+    pace_summary result;
+    for (const auto& [id, known] : m_replicas)
+    {
+        const double share = known->pace().share(now);
+        result.reduced += share < 1 ? 1 : 0;
+        result.lowest_share = std::min(result.lowest_share, share);
+    }
+    return result;
+}
+
 void replica_directory::remove(const std::string& id, base::time_point now)
 {
     const auto found = m_replicas.find(id);
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -18,6 +18,14 @@
 namespace ospreystair::forwarding
 {
 
+/// The replicas at reduced pace.
+struct pace_summary
+{
+    std::size_t reduced = 0;
+    /// Smallest share of the usual work; 1 when none is reduced.
+    double lowest_share = 1;
+};
+
 /// Keeps one `replica` for each incarnation that may receive requests.
 ///
 /// Guards against this failure: entries expire during an outage of the registry, which a VM may not
@@ -84,6 +92,8 @@
     /// Replicas of a service in any state; empty when it has none.
     const std::vector<std::shared_ptr<replica>>& replicas_of(const std::string& service) const;
     const std::map<std::string, std::shared_ptr<replica>>& replicas() const { return m_replicas; }
+    /// Sums up the replicas that get less than their usual work.
+    pace_summary summarize_pace(base::time_point now) const;
     bool has_listing() const { return m_has_listing; }
 
 private:
