--- a/source/routing/connection_planner.cpp
+++ b/source/routing/connection_planner.cpp
@@ -25,8 +25,7 @@
 {
     const auto [found, is_new] = m_plans.try_emplace(service);
     service_plan& known = found->second;
-    if (!is_new && known.limit == limit && known.is_shard == is_shard &&
-        known.replicas == replicas)
+    if (!is_new && known.limit == limit && known.is_shard == is_shard && known.replicas == replicas)
         return known.quotas;
     known.replicas = std::move(replicas);
     known.limit = limit;
@@ -47,8 +46,8 @@
 
 bool connection_planner::has_gatherer() const
 {
-    const auto own = std::find_if(m_vms.begin(), m_vms.end(), [this](const node_location& vm)
-                                  { return vm.name == m_own_vm; });
+    const auto own = std::find_if(m_vms.begin(), m_vms.end(),
+                                  [this](const node_location& vm) { return vm.name == m_own_vm; });
     return own != m_vms.end() && !m_gatherers.contains(m_own_vm) &&
            std::any_of(m_vms.begin(), m_vms.end(),
                        [&](const node_location& vm) {
--- a/tests/unit/routing_plan_test.cpp
+++ b/tests/unit/routing_plan_test.cpp
@@ -122,6 +122,24 @@
               (std::vector<std::uint32_t>{0, 0}));
 }
 
+// Guards against VMs that keep connections which only gatherers need, and against gatherers of
+// another data centre that are taken for their own.
+TEST(connection_planner_test, only_gatherers_of_a_data_centre_keep_connections_to_shards)
+{
+    const auto vms = make_locations("vm", 12, 3);
+    const auto replicas = make_locations("r", 3, 3);
+    const auto plan_for = [&](const std::string& vm, bool is_shard)
+    {
+        connection_planner planner(vm);
+        planner.set_vms(vms, {"vm0", "vm1"});
+        return planner.plan("s", replicas, 100, is_shard);
+    };
+    EXPECT_EQ(plan_for("vm0", true), (std::vector<std::uint32_t>{2, 2, 2}));
+    EXPECT_EQ(plan_for("vm3", true), (std::vector<std::uint32_t>{0, 0, 0}));
+    EXPECT_EQ(plan_for("vm3", false), (std::vector<std::uint32_t>{2, 2, 2}));
+    EXPECT_EQ(plan_for("vm5", true), (std::vector<std::uint32_t>{2, 2, 2}));
+}
+
 // Guards against a plan that is kept although its replicas, its limit or the VMs have changed, and
 // against plans of all services after the change of one.
 TEST(connection_planner_test, only_changed_services_are_planned_again)
