--- a/source/forwarding/gather_placement.cpp
+++ b/source/forwarding/gather_placement.cpp
@@ -76,7 +76,7 @@
     std::optional<std::string> result;
     for (const auto& [vm, item] : m_candidates)
     {
-        if (now < item.avoid_until || (item.losses > 0 && item.sent > 0))
+        if (now < item.avoid_until || item.losses > 0)
             continue;
         const base::duration expected =
             handover_time + processing_time(parts, item.core_share, expected_running(item, now));
@@ -124,14 +124,44 @@
 
 void gather_placement::record_loss(const std::string& vm, base::time_point now)
 {
-    candidate* const item = end_query(vm);
-    if (!item)
+    if (candidate* const item = end_query(vm))
+        count_loss(*item, now);
+}
+
+void gather_placement::count_loss(candidate& item, base::time_point now)
+{
+    // Queries that were sent before the first loss was noticed say nothing new.
+    if (now < item.avoid_until && item.losses > 0)
         return;
     constexpr unsigned max_doublings = 3;
     const base::duration pause = std::min<base::duration>(
-        max_loss_pause, initial_loss_pause * (1U << std::min(item->losses, max_doublings)));
-    item->avoid_until = std::max(item->avoid_until, now + pause);
-    ++item->losses;
+        max_loss_pause, initial_loss_pause * (1U << std::min(item.losses, max_doublings)));
+    item.avoid_until = std::max(item.avoid_until, now + pause);
+    ++item.losses;
+}
+
+std::optional<std::string> gather_placement::start_probe(base::time_point now)
+{
+    for (auto& [vm, item] : m_candidates)
+    {
+        if (item.losses == 0 || item.is_probed || now < item.avoid_until)
+            continue;
+        item.is_probed = true;
+        return vm;
+    }
+    return std::nullopt;
+}
+
+void gather_placement::record_probed(const std::string& vm, bool has_answered, base::time_point now)
+{
+    const auto found = m_candidates.find(vm);
+    if (found == m_candidates.end())
+        return;
+    found->second.is_probed = false;
+    if (has_answered)
+        found->second.losses = 0;
+    else
+        count_loss(found->second, now);
 }
 
 void gather_placement::record_cancelled(const std::string& vm)
--- a/source/forwarding/gather_placement.hpp
+++ b/source/forwarding/gather_placement.hpp
@@ -61,6 +61,11 @@
     /// Returns the VM that should gather a query with `parts` parts; empty to gather it here.
     std::optional<std::string> choose(std::size_t parts, base::time_point now) const;
 
+    /// Returns a VM that lost a query and may be back. It gets queries again when it has answered a
+    /// question, which `record_probed` reports.
+    std::optional<std::string> start_probe(base::time_point now);
+    void record_probed(const std::string& vm, bool has_answered, base::time_point now);
+
     /// Records the start and the end of a query that is gathered here for a caller of this VM.
     void record_started_here() { ++m_running_here; }
     void record_ended_here() { --m_running_here; }
@@ -87,12 +92,15 @@
         std::uint32_t reported = 0;
         base::time_point reported_at{};
         base::time_point avoid_until{};
+        // Since the last answer.
         unsigned losses = 0;
+        bool is_probed = false;
     };
 
     static base::duration processing_time(std::size_t parts, double core_share, double running);
     static double expected_running(const candidate& item, base::time_point now);
     candidate* end_query(const std::string& vm);
+    static void count_loss(candidate& item, base::time_point now);
 
     double m_own_share = 0;
     std::uint32_t m_running_here = 0;
