--- a/tests/unit/forwarding_evacuation_test.cpp
+++ b/tests/unit/forwarding_evacuation_test.cpp
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -136,7 +137,7 @@
             for (const std::string& data_centre : data_centres)
             {
                 registration entry;
-                entry.id = service + "-" + data_centre;
+                entry.id = fmt::format("{}-{}", service, data_centre);
                 entry.service = service;
                 entry.address = "127.0.0.1:1";
                 entry.data_centre = data_centre;
