--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -8,16 +8,18 @@
 #include <algorithm>
 #include <chrono>
 #include <concepts>
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
 #include "base/hash.hpp"
 #include "base/random.hpp"
+#include "forwarding/home_data_centres.hpp"
 #include "forwarding/isolation_monitor.hpp"
 #include "forwarding/reach_monitor.hpp"
 #include "forwarding/repeat_budget.hpp"
@@ -26,6 +28,7 @@
 #include "forwarding/route_knowledge.hpp"
 #include "forwarding/traffic_split.hpp"
 #include "forwarding/trial_register.hpp"
+#include "forwarding/waiting_parts.hpp"
 #include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
@@ -53,12 +56,22 @@
     transport.drop(next);
 };
 
+/// How far all VMs together may exceed a service's limit for cold replicas in one second.
+struct warm_up_limits
+{
+    double factor = 1;
+    double slack = 0;
+};
+
 /// Settings of a dispatcher.
 struct dispatcher_settings
 {
     repeat_limits repeats;
     /// Data centre of this VM.
     std::string data_centre;
+    /// Region of each data centre.
+    std::map<std::string, std::string> regions = {};
+    warm_up_limits warm_up = {};
 };
 
 /// `Observer` is notified of hedges, hedges that are not sent, and failed attempts. Not
@@ -89,11 +102,46 @@
     {
         m_table = std::move(table);
         m_splits.clear();
+        m_shards = m_table->shard_services();
+        limit_cold_replicas();
     }
 
     const std::shared_ptr<const route_table>& table() const { return m_table; }
     /// Sets this VM's place among the VMs that share the limits.
-    void set_fleet_position(const routing::fleet_position& position) { m_position = position; }
+    /// Sets how many of the VMs gather the queries over many shards, and whether this one does.
+    void set_gatherers(std::size_t count, bool is_gatherer)
+    {
+        m_gatherer_count = count;
+        m_is_gatherer = is_gatherer;
+    }
+    void set_regions(std::map<std::string, std::string> regions)
+    {
+        m_settings.regions = std::move(regions);
+    }
+    /// Where requests of the team on the route may be served; `team` may be null.
+    home_data_centres find_homes(const route& rule, const teams::team* team) const
+    {
+        static const std::vector<std::string> all;
+        return {m_settings.regions, rule.home_regions, team ? team->home_regions : all};
+    }
+    void set_fleet_position(const routing::fleet_position& position)
+    {
+        m_position = position;
+        limit_cold_replicas();
+    }
+    void set_warm_up_limits(const warm_up_limits& limits)
+    {
+        m_settings.warm_up = limits;
+        limit_cold_replicas();
+    }
+    /// Must be called for each replica that is added to the directory.
+    void on_replica_added(replica& added)
+    {
+        const service_limits* const limits =
+            m_table ? m_table->find_service(added.registry_entry().service) : nullptr;
+        if (limits)
+            added.set_warm_up_limit(make_warm_up_limit(*limits), m_position, m_clock.now());
+    }
     void set_repeat_limits(const repeat_limits& limits) { m_settings.repeats = limits; }
 
     /// Starts a request on a route of `table()`. `on_answer` is called exactly once, possibly
@@ -104,10 +152,14 @@
         std::shared_ptr<route_knowledge>& statistics = m_statistics[rule.name];
         if (!statistics)
             statistics = std::make_shared<route_knowledge>();
-        request.time_used = statistics->record_deadline(request.deadline);
+        request.time_used = statistics->record_deadline(
+            request.team ? request.team->name : std::string(), request.deadline, rule.timeout);
         auto run = std::make_shared<run_type>(*this, std::move(request), m_table, rule, statistics,
                                               std::move(on_answer));
-        run->start(rule.is_gather() ? rule.shards : std::vector<std::string>{choose_service(rule)});
+        if (rule.is_gather())
+            run->start(rule.shards);
+        else
+            run->start({choose_service(rule)});
         return run;
     }
 
@@ -130,6 +182,16 @@
     /// A connection to a replica of the service has become free.
     void on_connection_available(const std::string& service) { resume_waiting(service); }
 
+    /// Data centres have been evacuated or taken back: parts that wait choose again.
+    void on_evacuations_changed()
+    {
+        std::vector<std::string> services;
+        for (const auto& [service, queue] : m_waiting)
+            services.push_back(service);
+        for (const std::string& service : services)
+            resume_waiting(service);
+    }
+
     /// Updates and returns `is_isolated`.
     bool update_isolation()
     {
@@ -156,11 +218,12 @@
     /// Whether this VM could serve a request on the route now.
     bool can_serve(const route& rule) const
     {
+        const home_data_centres homes = find_homes(rule, nullptr);
         if (rule.is_gather())
-            return find_servable(rule.shards).count >= rule.min_parts();
+            return find_servable(rule.shards, homes).count >= rule.min_parts();
         return std::any_of(rule.services.begin(), rule.services.end(),
-                           [this](const weighted_service& each)
-                           { return has_live_replica(each.service); });
+                           [&](const weighted_service& each)
+                           { return has_live_replica(each.service, homes); });
     }
 
     /// Returns the answer to a request that crashes the replicas which run it; empty for others.
@@ -193,18 +256,18 @@
         bool is_closed = false;
     };
 
-    /// Returns the replica with the lowest estimated cost. A suspect replica is returned only when
-    /// there is no other.
+    /// Returns the replica at home with the lowest estimated cost. A suspect replica is returned
+    /// only when there is no other.
     choice choose(const std::string& service, const std::vector<std::shared_ptr<replica>>& excluded,
-                  const latency_baseline& baseline)
+                  const latency_baseline& baseline, const home_data_centres& homes)
     {
-        return choose_among(m_directory.replicas_of(service), excluded, baseline);
+        return choose_among(m_directory.replicas_of(service), excluded, baseline, homes);
     }
 
     /// Like `choose`, among `candidates`.
     choice choose_among(const std::vector<std::shared_ptr<replica>>& candidates,
                         const std::vector<std::shared_ptr<replica>>& excluded,
-                        const latency_baseline& baseline)
+                        const latency_baseline& baseline, const home_data_centres& homes)
     {
         choice result;
         std::optional<base::duration> best;
@@ -212,6 +275,7 @@
         for (const std::shared_ptr<replica>& candidate : candidates)
         {
             if (!candidate->is_ready() || candidate->is_down(now) ||
+                !is_at_home(*candidate, homes) ||
                 std::find(excluded.begin(), excluded.end(), candidate) != excluded.end())
                 continue;
             if (candidate->is_closed(now))
@@ -241,11 +305,12 @@
         std::string first_missing;
     };
 
-    servable_services find_servable(const std::vector<std::string>& services) const
+    servable_services find_servable(const std::vector<std::string>& services,
+                                    const home_data_centres& homes) const
     {
         servable_services result;
         for (const std::string& service : services)
-            if (has_live_replica(service))
+            if (has_live_replica(service, homes))
                 ++result.count;
             else if (result.first_missing.empty())
                 result.first_missing = service;
@@ -259,47 +324,72 @@
     };
 
     /// Counts the listed replicas of a service that are not about to stop.
-    replica_counts count_replicas(const std::string& service) const
+    replica_counts count_replicas(const std::string& service, const home_data_centres& homes) const
     {
         replica_counts result;
         for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
-            if (candidate->is_ready())
+            if (candidate->is_ready() && is_at_home(*candidate, homes))
                 ++(candidate->is_down(m_clock.now()) ? result.down : result.live);
         return result;
     }
 
     /// Whether some replica of the service takes requests now.
-    bool has_live_replica(const std::string& service) const
+    bool has_live_replica(const std::string& service, const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         const auto& candidates = m_directory.replicas_of(service);
         return std::any_of(candidates.begin(), candidates.end(),
-                           [now](const std::shared_ptr<replica>& candidate) {
+                           [&](const std::shared_ptr<replica>& candidate)
+                           {
                                return candidate->is_ready() && !candidate->is_down(now) &&
-                                      !candidate->is_closed(now);
+                                      !candidate->is_closed(now) && is_at_home(*candidate, homes);
                            });
     }
 
-    /// Whether the service has replicas, and this VM reaches none of them.
-    bool is_out_of_reach(const std::string& service) const
+    /// Whether the service has replicas that are not evacuated, and this VM reaches none of them.
+    bool is_out_of_reach(const std::string& service, const home_data_centres& homes) const
+    {
+        const base::time_point now = m_clock.now();
+        bool is_any_known = false;
+        for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
+        {
+            if (!is_at_home(*candidate, homes))
+                continue;
+            if (candidate->is_ready() && !candidate->is_down(now))
+                return false;
+            is_any_known = is_any_known || !candidate->is_evacuated();
+        }
+        return is_any_known;
+    }
+
+    /// Whether replicas of the service would take requests if their data centres were not
+    /// evacuated.
+    bool is_held_back(const std::string& service, const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         const auto& candidates = m_directory.replicas_of(service);
-        return !candidates.empty() &&
-               std::none_of(candidates.begin(), candidates.end(),
-                            [now](const std::shared_ptr<replica>& candidate)
-                            { return candidate->is_ready() && !candidate->is_down(now); });
+        return std::any_of(candidates.begin(), candidates.end(),
+                           [&](const std::shared_ptr<replica>& candidate)
+                           {
+                               return candidate->is_evacuated() && candidate->is_available() &&
+                                      !candidate->is_down(now) && is_at_home(*candidate, homes);
+                           });
+    }
+    void report_held_back(const run_type& run, const std::string& service)
+    {
+        m_observer.on_held_back(run, service);
     }
 
     /// When the first closed replica of the service takes requests again. Empty when there is none,
     /// or when another one takes requests.
-    std::optional<base::time_point> find_reopening(const std::string& service) const
+    std::optional<base::time_point> find_reopening(const std::string& service,
+                                                   const home_data_centres& homes) const
     {
         const base::time_point now = m_clock.now();
         std::optional<base::time_point> result;
         for (const std::shared_ptr<replica>& candidate : m_directory.replicas_of(service))
         {
-            if (!candidate->is_ready() || candidate->is_down(now))
+            if (!candidate->is_ready() || candidate->is_down(now) || !is_at_home(*candidate, homes))
                 continue;
             if (!candidate->is_closed(now))
                 return std::nullopt;
@@ -319,13 +409,11 @@
     void wait_for_connection(const std::string& service, const std::shared_ptr<run_type>& run,
                              std::size_t part)
     {
-        std::deque<waiting_part>& queue = m_waiting[service];
-        if (queue.size() >= prune_threshold)
-            std::erase_if(queue, [](const waiting_part& each) { return each.run.expired(); });
-        const auto first_less_urgent = std::find_if(queue.begin(), queue.end(),
-                                                    [&](const waiting_part& other)
-                                                    { return other.priority > run->priority(); });
-        queue.insert(first_less_urgent, waiting_part{run, part, run->priority()});
+        typename waiting_parts<run_type>::entry item{run, part, run->rank(), run->team_name()};
+        if (m_resumed.run != run.get() || m_resumed.part != part)
+            return m_waiting[service].add(std::move(item));
+        m_resumed = {};
+        m_waiting[service].put_back(std::move(item));
     }
 
     /// Drops the attempts of an answered request that have not ended after `drop_delay`.
@@ -349,7 +437,7 @@
     bool may_repeat(const std::string& service)
     {
         return budget_of(service).allows_repeat(m_clock.now(), m_settings.repeats,
-                                                m_position.vm_count);
+                                                count_sharers(service));
     }
     void record_repeat(const std::string& service)
     {
@@ -410,15 +498,13 @@
     }
 
 private:
-    struct waiting_part
+    // A waiting part that has just been offered a connection.
+    struct resumed_part
     {
-        std::weak_ptr<run_type> run;
+        const run_type* run = nullptr;
         std::size_t part = 0;
-        int priority = 0;
     };
 
-    // Queue length at which parts of answered requests are removed before another part is added.
-    static constexpr std::size_t prune_threshold = 32;
     // The wait is between these fractions of the deadline: at most a third of the remaining time.
     static constexpr int min_retry_after_divisor = 10;
     static constexpr int max_retry_after_divisor = 4;
@@ -431,21 +517,59 @@
     // Added for a suspect replica, so that it is chosen only when there is no other.
     static constexpr std::chrono::seconds suspect_cost{60};
 
+    static bool is_at_home(const replica& candidate, const home_data_centres& homes)
+    {
+        return homes.permits(candidate.registry_entry().data_centre);
+    }
+
     base::duration estimate_cost(const replica& candidate, connection_availability availability,
                                  base::time_point now, const latency_baseline& baseline)
     {
-        const double jitter = 1 + cost_jitter * choose_fraction();
+        const bool is_remote = candidate.registry_entry().data_centre != m_settings.data_centre;
+        // Chance alone must not send a request to another data centre.
+        const double jitter = 1 + cost_jitter * (choose_fraction() + (is_remote ? 1 : 0));
         base::duration result = std::chrono::duration_cast<base::duration>(
             candidate.expected_time(now, baseline) * jitter);
+        // A replica at reduced pace gets its share of the requests that would otherwise go to it;
+        // the rest only when its neighbours would answer later.
+        const double share = candidate.pace().share(now);
+        if (share < 1 && choose_fraction() >= share)
+            result = std::chrono::duration_cast<base::duration>(result / share);
         if (availability == connection_availability::new_connection)
             result += connect_time;
-        if (candidate.registry_entry().data_centre != m_settings.data_centre)
+        if (is_remote)
             result += remote_cost;
         if (candidate.is_suspect(now, baseline))
             result += suspect_cost;
         return result;
     }
 
+    // Gatherers send most of the requests to shards only.
+    std::size_t count_sharers(const std::string& service) const
+    {
+        return count_slack_sharers(
+            m_position.vm_count, m_shards.contains(service) ? m_gatherer_count : 0, m_is_gatherer);
+    }
+
+    void limit_cold_replicas()
+    {
+        if (!m_table)
+            return;
+        for (const service_limits& limits : m_table->services())
+            for (const std::shared_ptr<replica>& known : m_directory.replicas_of(limits.name))
+                known->set_warm_up_limit(make_warm_up_limit(limits), m_position, m_clock.now());
+    }
+
+    // Empty when the service's cold replicas take any number of requests.
+    std::optional<routing::rate_limit> make_warm_up_limit(const service_limits& limits) const
+    {
+        const double rate = limits.warm_up_requests_per_second;
+        if (rate <= 0)
+            return std::nullopt;
+        return routing::rate_limit{rate,
+                                   rate * m_settings.warm_up.factor + m_settings.warm_up.slack};
+    }
+
     repeat_budget& budget_of(const std::string& service)
     {
         const auto found = m_budgets.find(service);
@@ -549,6 +673,8 @@
             m_observer.on_replica_leaving(target);
         }
         record_request_limit(target, result);
+        if (result.warm_up_left)
+            target.record_warm_up(*result.warm_up_left, m_clock.now());
         if (result.closed_for)
         {
             target.record_closed(m_clock.now() + *result.closed_for);
@@ -585,28 +711,24 @@
         resume_waiting(given_up->target->registry_entry().service);
     }
 
-    // Offers free connections to waiting parts, the most urgent first. A part that finds no
-    // connection adds itself to the queue again.
+    // Offers free connections to waiting parts in their order, until one finds none and adds itself
+    // to the queue again.
     void resume_waiting(const std::string& service)
     {
-        const auto found = m_waiting.find(service);
-        if (found == m_waiting.end())
-            return;
-        std::deque<waiting_part> queue = std::move(found->second);
-        m_waiting.erase(found);
-        while (!queue.empty())
+        while (m_waiting.contains(service))
         {
-            const waiting_part first = queue.front();
-            queue.pop_front();
-            if (const auto run = first.run.lock(); run && !run->is_finished())
-                run->on_connection_available(first.part);
-            if (m_waiting.contains(service))
-                break;
+            const auto first = m_waiting[service].take();
+            if (m_waiting[service].is_empty())
+                m_waiting.erase(service);
+            const auto run = first ? first->run.lock() : nullptr;
+            if (!run || run->is_finished())
+                continue;
+            m_resumed = {run.get(), first->part};
+            run->on_connection_available(first->part);
+            if (!m_resumed.run)
+                return;
+            m_resumed = {};
         }
-        if (queue.empty())
-            return;
-        std::deque<waiting_part>& rest = m_waiting[service];
-        rest.insert(rest.end(), queue.begin(), queue.end());
     }
 
     const Clock& m_clock;
@@ -620,12 +742,19 @@
     isolation_monitor m_isolation_monitor;
     reach_monitor m_reach_monitor;
     routing::fleet_position m_position;
+    std::size_t m_gatherer_count = 0;
+    bool m_is_gatherer = false;
+    // Services that are only used as shards of queries.
+    std::set<std::string> m_shards;
     // By route name.
     std::map<std::string, std::shared_ptr<route_knowledge>> m_statistics;
     std::map<std::string, traffic_split> m_splits;
     // By service.
-    std::map<std::string, repeat_budget> m_budgets;
-    std::map<std::string, std::deque<waiting_part>> m_waiting;
+    std::unordered_map<std::string, repeat_budget> m_budgets;
+    // Invariant: no entry is empty.
+    std::unordered_map<std::string, waiting_parts<run_type>> m_waiting;
+    // Set only while the part is offered a connection.
+    resumed_part m_resumed;
     routing::crash_ledger m_crashes;
     trial_register<run_type> m_trials;
 };
--- a/source/forwarding/replica.hpp
+++ b/source/forwarding/replica.hpp
@@ -12,6 +12,7 @@
 #include "base/clock.hpp"
 #include "forwarding/event_rate.hpp"
 #include "forwarding/registration.hpp"
+#include "forwarding/replica_pace.hpp"
 #include "routing/rate_share.hpp"
 
 namespace ospreystair::forwarding
@@ -47,8 +48,16 @@
     void update(registration registry_entry, base::time_point now);
 
     /// Whether the replica is listed in the registry and not about to stop, as far as the registry
-    /// or the replica itself says.
-    bool is_ready() const { return m_is_listed && !m_registry_entry.is_draining && !m_is_leaving; }
+    /// or the replica itself says, and its data centre is not evacuated.
+    bool is_ready() const { return is_available() && !m_is_evacuated; }
+    /// Whether operators have asked that the replicas of its data centre get no requests.
+    bool is_evacuated() const { return m_is_evacuated; }
+    void set_evacuated(bool is_evacuated) { m_is_evacuated = is_evacuated; }
+    /// Like `is_ready`, but for an evacuation.
+    bool is_available() const
+    {
+        return m_is_listed && !m_registry_entry.is_draining && !m_is_leaving;
+    }
     void set_listed(bool is_listed) { m_is_listed = is_listed; }
     /// Whether the registry entry is missing but may come back, for example after an outage.
     bool is_unconfirmed() const { return m_is_unconfirmed; }
@@ -88,13 +97,11 @@
     bool is_closed(base::time_point now) const
     {
         return now < m_closed_until || (m_is_reopening && !m_outstanding.empty()) ||
-               (m_rate_share && !m_rate_share->allows_request(now));
+               (m_rate_share && !m_rate_share->allows_request(now)) ||
+               (m_warm_up_share && is_cold(now) && !m_warm_up_share->allows_request(now));
     }
     /// When a closed replica takes a request again.
-    base::time_point reopens_at(base::time_point now) const
-    {
-        return m_rate_share ? std::max(m_closed_until, m_rate_share->next(now)) : m_closed_until;
-    }
+    base::time_point reopens_at(base::time_point now) const;
 
     /// Records that the replica takes `requests_per_second` from all VMs together, of which this VM
     /// sends its share.
@@ -104,6 +111,11 @@
     void clear_request_limit() { m_rate_share.reset(); }
     bool has_request_limit() const { return m_rate_share.has_value(); }
 
+    /// Sets the requests that the replica takes from all VMs together while it is cold; empty for
+    /// any number.
+    void set_warm_up_limit(const std::optional<routing::rate_limit>& limit,
+                           const routing::fleet_position& position, base::time_point now);
+
     /// Records that another replica answered at this address: this one no longer exists, even if
     /// the registry still lists it.
     void record_replaced() { m_is_replaced = true; }
@@ -115,6 +127,8 @@
     void record_rejection(base::time_point now) { m_last_failure = now; }
     void record_connected(base::time_point now)
     {
+        if (is_unreachable())
+            m_pace.restart(now);
         m_connect_failures = 0;
         m_last_contact = now;
     }
@@ -124,6 +138,12 @@
     /// Time of the next connection attempt after failures.
     base::time_point reconnect_at() const { return m_reconnect_at; }
 
+    /// Records that the replica stays cold for `left`; 0 when it is warm.
+    void record_warm_up(std::chrono::milliseconds left, base::time_point now);
+    bool is_cold(base::time_point now) const { return now < m_warm_up_end; }
+    /// How much of its usual work the replica should get now.
+    const replica_pace& pace() const { return m_pace; }
+
     std::size_t outstanding() const { return m_outstanding.size(); }
     /// When the last attempt without a reply was sent, or the last connection failed.
     base::time_point last_failure() const { return m_last_failure; }
@@ -165,14 +185,19 @@
     bool m_is_listed = true;
     bool m_is_unconfirmed = false;
     bool m_is_replaced = false;
+    bool m_is_evacuated = false;
     bool m_is_leaving = false;
     base::time_point m_closed_until{};
     // Whether no request has succeeded since m_closed_until.
     bool m_is_reopening = false;
     // Present while the replica names a limit on its requests.
     std::optional<routing::rate_share> m_rate_share;
-    // End of the slow phase after the replica's start.
+    // Present while the replica's service limits the requests to cold replicas; applies until
+    // m_warm_up_end.
+    std::optional<routing::rate_share> m_warm_up_share;
+    // End of the slow phase after the replica's start, by the newest statement of the replica.
     base::time_point m_warm_up_end{};
+    replica_pace m_pace;
     // Send times of outstanding attempts, oldest first.
     std::vector<base::time_point> m_outstanding;
     base::time_point m_last_contact;
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -8,7 +8,9 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "forwarding/replica.hpp"
@@ -16,6 +18,14 @@
 namespace ospreystair::forwarding
 {
 
+/// The replicas at reduced pace.
+struct pace_summary
+{
+    std::size_t reduced = 0;
+    /// Smallest share of the usual work; 1 when none is reduced.
+    double lowest_share = 1;
+};
+
 /// Keeps one `replica` for each incarnation that may receive requests.
 ///
 /// Guards against this failure: entries expire during an outage of the registry, which a VM may not
@@ -56,6 +66,9 @@
     /// `age` is an upper bound of the time since the removal.
     void apply_removal(const std::string& id, base::time_point now, base::duration age = {});
 
+    /// Sets the data centres whose replicas, present and later ones, get no requests.
+    void set_evacuated(std::set<std::string> data_centres);
+
     /// Records that the registry is unreachable; the known entries are kept.
     void record_outage();
     /// Records that the registry is reachable again. Must be called before its list is applied.
@@ -79,6 +92,8 @@
     /// Replicas of a service in any state; empty when it has none.
     const std::vector<std::shared_ptr<replica>>& replicas_of(const std::string& service) const;
     const std::map<std::string, std::shared_ptr<replica>>& replicas() const { return m_replicas; }
+    /// Sums up the replicas that get less than their usual work.
+    pace_summary summarize_pace(base::time_point now) const;
     bool has_listing() const { return m_has_listing; }
 
 private:
@@ -94,6 +109,7 @@
     };
 
     void remove(const std::string& id, base::time_point now);
+    void mark_evacuated(replica& known) const;
     // Whether the entry may be one that the registry has brought back from an older copy.
     bool is_from_copy(const registration& entry) const;
     void add_due_reappearances(base::time_point now);
@@ -113,9 +129,11 @@
     base::time_point m_reregistration_end{};
     // When each unconfirmed replica is removed, by id.
     std::map<std::string, base::time_point> m_removal_times;
+    // Invariant: exactly the replicas of these data centres are marked as evacuated.
+    std::set<std::string> m_evacuated;
     // Invariant: m_by_service holds exactly the replicas of m_replicas.
     std::map<std::string, std::shared_ptr<replica>> m_replicas;
-    std::map<std::string, std::vector<std::shared_ptr<replica>>> m_by_service;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<replica>>> m_by_service;
 };
 
 } // namespace ospreystair::forwarding
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -20,11 +20,13 @@
 #include "base/fingerprint.hpp"
 #include "forwarding/answer.hpp"
 #include "forwarding/crash_caution.hpp"
+#include "forwarding/home_data_centres.hpp"
 #include "forwarding/query_part.hpp"
 #include "forwarding/reach_monitor.hpp"
 #include "forwarding/route_table.hpp"
 #include "forwarding/straggler_rule.hpp"
 #include "forwarding/timer_queue.hpp"
+#include "forwarding/waiting_parts.hpp"
 #include "routing/crash_ledger.hpp"
 #include "routing/deadline_budget.hpp"
 #include "teams/team.hpp"
@@ -70,8 +72,9 @@
                 std::shared_ptr<const route_table> table, const route& rule,
                 std::shared_ptr<route_knowledge> statistics, completion on_answer)
         : m_dispatcher(dispatcher), m_request(std::move(request)), m_table(std::move(table)),
-          m_route(rule), m_statistics(std::move(statistics)),
-          m_baseline(m_statistics->baseline(rule.objective)), m_on_answer(std::move(on_answer)),
+          m_route(rule), m_homes(dispatcher.find_homes(rule, m_request.team.get())),
+          m_statistics(std::move(statistics)), m_baseline(m_statistics->baseline(rule.objective)),
+          m_on_answer(std::move(on_answer)),
           m_deadline_budget(dispatcher.now(), std::min(m_request.deadline, rule.timeout)),
           m_started_at(dispatcher.now()), m_answer_at(compute_answer_time()),
           m_straggler_rule(m_started_at, m_baseline, rule.objective),
@@ -82,6 +85,8 @@
     /// Creates one part for each of `services`, and sends the first attempts.
     void start(const std::vector<std::string>& services)
     {
+        m_parts.reserve(services.size());
+        m_attempts.reserve(services.size());
         for (const std::string& service : services)
             m_parts.emplace_back(service);
         m_open_parts = m_parts.size();
@@ -158,10 +163,16 @@
     const route& rule() const { return m_route; }
     std::uint64_t version() const { return m_table->version(); }
     bool is_finished() const { return m_is_finished; }
-    int priority() const
+    urgency rank() const
     {
-        return m_request.team ? m_request.team->priority.value_or(m_route.priority)
-                              : m_route.priority;
+        const int own = m_route.priority;
+        return {m_request.team ? m_request.team->priority.value_or(own) : own, own};
+    }
+    /// Empty for requests without a team.
+    const std::string& team_name() const
+    {
+        static const std::string none;
+        return m_request.team ? m_request.team->name : none;
     }
 
 private:
@@ -190,12 +201,15 @@
 
     bool refuse_if_unservable(const std::vector<std::string>& services)
     {
-        const auto servable = m_dispatcher.find_servable(services);
+        const auto servable = m_dispatcher.find_servable(services, m_homes);
         if (m_deadline_budget.remaining(m_dispatcher.now()) > base::duration{0} &&
             servable.count >= required_parts())
             return false;
         const std::string& missing = servable.first_missing;
-        if (!missing.empty())
+        // An evacuation is no sign of a cut.
+        if (!missing.empty() && m_dispatcher.is_held_back(missing, m_homes))
+            m_dispatcher.report_held_back(*this, missing);
+        else if (!missing.empty())
             m_dispatcher.record_unservable();
         finish_refused(missing.empty()
                            ? std::string("the caller's deadline leaves no time")
@@ -272,9 +286,8 @@
     // request has turned out to crash replicas.
     void resume_held_parts()
     {
-        const bool is_any_held = std::any_of(m_parts.begin(), m_parts.end(),
-                                             [](const query_part& item) { return item.is_held; });
-        if (!is_any_held)
+        // Set by few requests, and looked at after each reply.
+        if (!std::exchange(m_has_held_parts, false))
             return;
         if (m_caution.is_needed() && !m_may_have_run && !has_open_attempt() &&
             refuse_if_condemned())
@@ -305,11 +318,11 @@
     // none is down now, the service has no more of them than usual.
     bool has_spare_replica(const query_part& item) const
     {
-        const auto counts = m_dispatcher.count_replicas(item.service);
+        const auto counts = m_dispatcher.count_replicas(item.service, m_homes);
         if (counts.live > 1 || counts.down == 0)
             return true;
         return m_route.is_gather() &&
-               m_dispatcher.find_servable(m_route.shards).count > required_parts();
+               m_dispatcher.find_servable(m_route.shards, m_homes).count > required_parts();
     }
 
     bool may_start_trial()
@@ -343,6 +356,7 @@
         if (m_caution.is_needed() && !may_start_trial())
         {
             item.is_held = true;
+            m_has_held_parts = true;
             item.reason =
                 "replicas crashed under the request, and no trial has shown another cause";
             return;
@@ -356,9 +370,10 @@
         const bool is_repeat = !item.tried.empty();
         typename Dispatcher::choice choice;
         if (!has_tried_all(item))
-            choice = m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline);
+            choice =
+                m_dispatcher.choose(item.service, excluded_replicas(item), m_baseline, m_homes);
         if (!choice.target && !choice.is_saturated && !item.refused_by.empty())
-            choice = m_dispatcher.choose_among(item.refused_by, {}, m_baseline);
+            choice = m_dispatcher.choose_among(item.refused_by, {}, m_baseline, m_homes);
         if (!choice.target && choice.is_saturated)
         {
             wait_for_connection(index);
@@ -515,7 +530,7 @@
                                  m_answered >= required_parts();
         if (is_too_late || now + m_baseline.median > m_deadline_budget.end())
             return m_dispatcher.report_no_hedge(*this, item.service, "too little time is left");
-        const auto choice = m_dispatcher.choose(item.service, item.tried, m_baseline);
+        const auto choice = m_dispatcher.choose(item.service, item.tried, m_baseline, m_homes);
         if (!choice.target || !m_dispatcher.may_repeat(item.service))
         {
             m_dispatcher.report_no_hedge(*this, item.service,
@@ -688,12 +703,14 @@
         answer result;
         result.kind = answer_kind::not_run;
         result.retry_after = m_dispatcher.choose_retry_after(m_request.deadline, find_reopening());
-        result.is_out_of_reach = !m_is_trial_refused &&
-                                 std::any_of(m_parts.begin(), m_parts.end(),
-                                             [this](const query_part& item) {
-                                                 return item.state != part_state::answered &&
-                                                        m_dispatcher.is_out_of_reach(item.service);
-                                             });
+        result.is_out_of_reach =
+            !m_is_trial_refused &&
+            std::any_of(m_parts.begin(), m_parts.end(),
+                        [this](const query_part& item)
+                        {
+                            return item.state != part_state::answered &&
+                                   m_dispatcher.is_out_of_reach(item.service, m_homes);
+                        });
         result.reason = std::move(reason);
         finish(std::move(result));
     }
@@ -706,7 +723,7 @@
         {
             const auto reopening = item.state == part_state::answered
                                        ? std::nullopt
-                                       : m_dispatcher.find_reopening(item.service);
+                                       : m_dispatcher.find_reopening(item.service, m_homes);
             if (reopening && (!result || *reopening > *result))
                 result = reopening;
         }
@@ -737,6 +754,8 @@
     const std::shared_ptr<const route_table> m_table;
     // Points into m_table.
     const route& m_route;
+    // Invariant: no attempt goes to a replica elsewhere.
+    const home_data_centres m_homes;
     const std::shared_ptr<route_knowledge> m_statistics;
     const latency_baseline m_baseline;
     completion m_on_answer;
@@ -769,6 +788,8 @@
     base::time_point m_hedge_timer_at{};
     // Whether overdue parts are not hedged yet because more than stragglers are missing.
     bool m_is_hedge_postponed = false;
+    // Invariant: set while a part is held.
+    bool m_has_held_parts = false;
 };
 
 } // namespace ospreystair::forwarding
--- a/tests/unit/dispatcher_fixture.hpp
+++ b/tests/unit/dispatcher_fixture.hpp
@@ -42,6 +42,11 @@
     {
         ++crashes;
     }
+    template<class Run>
+    void on_held_back(const Run&, const std::string&)
+    {
+        ++held_back;
+    }
     void on_replica_leaving(const replica&) { ++leaving; }
     void on_replica_closed(const replica&, milliseconds) { ++closures; }
     void on_reach_changed(bool, base::duration) {}
@@ -60,6 +65,7 @@
     int budget_refusals = 0;
     int leaving = 0;
     int closures = 0;
+    int held_back = 0;
     int crashes = 0;
     std::vector<std::optional<double>> limits;
 };
@@ -247,6 +253,7 @@
         request.deadline = 1000ms;
         request.network_time = network_time;
         request.fingerprint = fingerprint;
+        request.team = m_team;
         const base::time_point start = m_clock.now();
         const std::size_t number = m_answers.size();
         m_answers.emplace_back();
@@ -321,6 +328,8 @@
     test_dispatcher m_dispatcher{m_clock,    m_random,    m_transport,
                                  m_observer, m_directory, {{0.2, 20, 10'000ms}, "a"}};
     std::shared_ptr<test_dispatcher::run_type> m_run;
+    // The team of all requests.
+    std::shared_ptr<const teams::team> m_team;
     // Requests offered to other VMs.
     int m_offers = 0;
     // Number of answers to each request.
--- a/tests/unit/routing_plan_test.cpp
+++ b/tests/unit/routing_plan_test.cpp
@@ -7,6 +7,7 @@
 #include <rapidcheck/gtest.h>
 
 #include "routing/connection_plan.hpp"
+#include "routing/connection_planner.hpp"
 #include "routing/connection_quota.hpp"
 
 namespace ospreystair::routing
@@ -91,6 +92,28 @@
         EXPECT_EQ(plan.connections_by_vm[vm][vm % 3], 1U) << vms[vm].name;
 }
 
+// Guards against VMs that send most of the requests and have to wait for connections that others
+// keep idle.
+TEST(connection_plan_test, preferred_vms_have_two_connections_to_each_replica_within_the_limit)
+{
+    const auto vms = make_locations("vm", 82, 3);
+    const auto replicas = make_locations("r", 3, 3);
+    const std::set<std::string> preferred{"vm3", "vm4", "vm5"};
+    std::vector<std::uint32_t> sums(replicas.size());
+    for (const node_location& vm : vms)
+    {
+        const auto planned = plan_connections("s", vm.name, vms, replicas, 63, preferred);
+        for (std::size_t replica = 0; replica < replicas.size(); ++replica)
+            sums[replica] += planned[replica];
+        if (preferred.contains(vm.name))
+        {
+            EXPECT_EQ(planned, (std::vector<std::uint32_t>{2, 2, 2}));
+        }
+    }
+    for (const std::uint32_t sum : sums)
+        EXPECT_LE(sum, shared_connections(63));
+}
+
 // Guards against a VM that opens connections before the others know of it.
 TEST(connection_plan_test, unlisted_vm_has_no_connections)
 {
@@ -99,5 +122,56 @@
               (std::vector<std::uint32_t>{0, 0}));
 }
 
+// Guards against VMs that keep connections which only gatherers need, and against gatherers of
+// another data centre that are taken for their own.
+TEST(connection_planner_test, only_gatherers_of_a_data_centre_keep_connections_to_shards)
+{
+    const auto vms = make_locations("vm", 12, 3);
+    const auto replicas = make_locations("r", 3, 3);
+    const auto plan_for = [&](const std::string& vm, bool is_shard)
+    {
+        connection_planner planner(vm);
+        planner.set_vms(vms, {"vm0", "vm1"});
+        return planner.plan("s", replicas, 100, is_shard);
+    };
+    EXPECT_EQ(plan_for("vm0", true), (std::vector<std::uint32_t>{2, 2, 2}));
+    EXPECT_EQ(plan_for("vm3", true), (std::vector<std::uint32_t>{0, 0, 0}));
+    EXPECT_EQ(plan_for("vm3", false), (std::vector<std::uint32_t>{2, 2, 2}));
+    EXPECT_EQ(plan_for("vm5", true), (std::vector<std::uint32_t>{2, 2, 2}));
+}
+
+// Guards against a plan that is kept although its replicas, its limit or the VMs have changed, and
+// against plans of all services after the change of one.
+TEST(connection_planner_test, only_changed_services_are_planned_again)
+{
+    auto vms = make_locations("vm", 40, 3);
+    auto replicas = make_locations("r", 3, 3);
+    connection_planner planner("vm7");
+    EXPECT_EQ(planner.plan("s", replicas, 20), std::vector<std::uint32_t>(3));
+    EXPECT_TRUE(planner.set_vms(vms));
+    EXPECT_FALSE(planner.set_vms(vms));
+    const auto expect_plan = [&](const std::string& service, std::uint32_t limit)
+    {
+        EXPECT_EQ(planner.plan(service, replicas, limit),
+                  plan_connections(service, "vm7", vms, replicas, limit));
+    };
+    expect_plan("s", 20);
+    expect_plan("t", 20);
+    const std::size_t count = planner.computed_count();
+    expect_plan("s", 20);
+    expect_plan("t", 20);
+    EXPECT_EQ(planner.computed_count(), count);
+    expect_plan("s", 90);
+    replicas.pop_back();
+    expect_plan("t", 20);
+    EXPECT_EQ(planner.computed_count(), count + 2);
+    vms.erase(vms.begin());
+    EXPECT_TRUE(planner.set_vms(vms));
+    expect_plan("s", 90);
+    planner.forget_unless([](const std::string& service) { return service == "t"; });
+    expect_plan("s", 90);
+    EXPECT_EQ(planner.computed_count(), count + 4);
+}
+
 } // namespace
 } // namespace ospreystair::routing
