--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -107,7 +107,6 @@
     }
 
     const std::shared_ptr<const route_table>& table() const { return m_table; }
-    /// Sets this VM's place among the VMs that share the limits.
     /// Sets how many of the VMs gather the queries over many shards, and whether this one does.
     void set_gatherers(std::size_t count, bool is_gatherer)
     {
@@ -124,6 +123,7 @@
         static const std::vector<std::string> all;
         return {m_settings.regions, rule.home_regions, team ? team->home_regions : all};
     }
+    /// Sets this VM's place among the VMs that share the limits.
     void set_fleet_position(const routing::fleet_position& position)
     {
         m_position = position;
--- a/source/forwarding/route_table.cpp
+++ b/source/forwarding/route_table.cpp
@@ -87,6 +87,8 @@
     result.m_routes = std::move(routes);
     result.m_services = std::move(services);
     result.m_limits = limits;
+    for (std::size_t index = 0; index < result.m_services.size(); ++index)
+        result.m_service_of_name.emplace(result.m_services[index].name, index);
     for (std::size_t index = 0; index < result.m_routes.size(); ++index)
     {
         route& item = result.m_routes[index];
@@ -167,10 +169,8 @@
 
 const service_limits* route_table::find_service(std::string_view name) const
 {
-    const auto found =
-        std::find_if(m_services.begin(), m_services.end(),
-                     [name](const service_limits& each) { return each.name == name; });
-    return found == m_services.end() ? nullptr : &*found;
+    const auto found = m_service_of_name.find(name);
+    return found == m_service_of_name.end() ? nullptr : &m_services[found->second];
 }
 
 } // namespace ospreystair::forwarding
--- a/source/forwarding/route_table.hpp
+++ b/source/forwarding/route_table.hpp
@@ -141,6 +141,8 @@
     std::vector<std::size_t> m_enclosing;
     // Indexes into m_routes; the first route of each name.
     std::map<std::string, std::size_t, std::less<>> m_route_of_name;
+    // Indexes into m_services; the first one of each name.
+    std::map<std::string, std::size_t, std::less<>> m_service_of_name;
 };
 
 /// Returns `host` in lower case and without a port, as in `route::host`.
