Quota: Count requests of a team in a sliding window

Cause: a bucket grants a team's burst once. A team that goes on sending within rate x window + burst in each window was then held to its rate alone, and what was refused counts as refused within the quota. Change: teams/quota_window counts the requests of the last window in slots. So that a keeper that takes over stays within the bound without knowing what its predecessor granted, every keeper leaves room for four fifths of the rate in the rest of the window, and a new one grants no more than that in its first window (with the bucket: the rate). What is given back leaves the oldest slot, since it is not known which request it was. Ruled out: smoothing the burst into the rate (a burst at once would be refused), asking all VMs what they sent (not after a loss of power).

--- a/source/teams/quota_bounds.hpp
+++ b/source/teams/quota_bounds.hpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include "teams/quota_window.hpp"
 #include "teams/team.hpp"
 
 namespace ospreystair::teams
@@ -14,8 +15,9 @@
 /// In each window, all VMs together send at most (rate x window + burst) x (1 + excess) + slack
 /// requests of a team. Of the margin beyond rate x window + burst, 30 percent are for a standby
 /// keeper, of which two may be in use beside the keeper while links are cut, and some is the
-/// reserve of VMs that reach none of them. A quarter makes buckets deeper, so that small teams are
-/// not refused for uneven arrivals. The rest covers requests that the keeper does not know of yet.
+/// reserve of VMs that reach none of them. A quarter is granted by the keeper too, so that small
+/// teams are not refused for uneven arrivals. The rest covers requests that the keeper does not
+/// know of yet.
 struct quota_bounds
 {
     std::chrono::milliseconds window{5'000};
@@ -32,23 +34,34 @@
         return (quota.requests_per_second * window_seconds() + quota.burst) * excess + slack;
     }
 
-    /// Requests that a team may send at once after a quiet time.
-    double bucket_depth(const request_quota& quota) const
+    /// What the keeper grants. A successor grants four fifths of the quota's rate, which is more
+    /// than most teams ask for, in its first window.
+    quota_grant keeper_grant(const request_quota& quota) const
     {
-        constexpr double depth_share = 0.25;
-        return std::max(1.0, quota.burst + margin(quota) * depth_share);
+        constexpr double margin_share = 0.25;
+        constexpr double takeover_share = 0.8;
+        quota_grant result;
+        result.window = window;
+        result.capacity = std::max(min_capacity, quota.requests_per_second * window_seconds() +
+                                                     quota.burst + margin(quota) * margin_share);
+        result.takeover_rate =
+            std::max(min_rate, std::min(quota.requests_per_second * takeover_share,
+                                        (result.capacity - 1) / window_seconds()));
+        return result;
     }
 
-    /// What a standby keeper grants: at once after a quiet time, and as a rate.
-    double standby_depth(const request_quota& quota) const
+    /// What a standby keeper grants: a tenth of the margin at once after a quiet time, and a fifth
+    /// of it in each window.
+    quota_grant standby_grant(const request_quota& quota) const
     {
-        constexpr double depth_share = 0.1;
-        return margin(quota) * depth_share;
-    }
-    double standby_rate(const request_quota& quota) const
-    {
-        constexpr double rate_share = 0.2;
-        return margin(quota) * rate_share / window_seconds();
+        constexpr double share_at_once = 0.1;
+        constexpr double share_in_window = 0.2;
+        quota_grant result;
+        result.window = window;
+        result.takeover_rate =
+            std::max(min_rate, margin(quota) * share_in_window / window_seconds());
+        result.capacity = margin(quota) * share_at_once + result.takeover_rate * window_seconds();
+        return result;
     }
 
     /// Rate of the requests that VMs without a keeper send together; 0 when the margin is too small
@@ -59,11 +72,16 @@
         // A routing::rate_share also issues the permits of a second, and some more.
         constexpr double extra_seconds = 1;
         constexpr double extra_permits = 3.5;
-        constexpr double min_rate = 0.25;
+        constexpr double min_reserve_rate = 0.25;
         const double rate =
             (margin(quota) * reserve_share - extra_permits) / (window_seconds() + extra_seconds);
-        return rate < min_rate ? 0 : rate;
+        return rate < min_reserve_rate ? 0 : rate;
     }
+
+private:
+    // Whatever the quota, one request is granted at some time.
+    static constexpr double min_rate = 1e-3;
+    static constexpr double min_capacity = 1.1;
 };
 
 } // namespace ospreystair::teams
--- a/source/teams/quota_keeper.cpp
+++ b/source/teams/quota_keeper.cpp
@@ -12,16 +12,12 @@
 quota_keeper::account& quota_keeper::find(const std::string& team, const request_quota& quota,
                                           base::time_point now)
 {
-    const bool is_standby = m_role == keeper_role::standby;
-    const double depth = is_standby ? m_bounds.standby_depth(quota) : m_bounds.bucket_depth(quota);
-    // A standby keeper without a margin grants nothing that matters.
-    constexpr double min_rate = 1e-3;
-    const double rate =
-        std::max(min_rate, is_standby ? m_bounds.standby_rate(quota) : quota.requests_per_second);
+    const quota_grant grant = m_role == keeper_role::standby ? m_bounds.standby_grant(quota)
+                                                             : m_bounds.keeper_grant(quota);
     const auto found = m_accounts.find(team);
     if (found != m_accounts.end())
     {
-        found->second.bucket.update(rate, depth, now);
+        found->second.requests.update(grant);
         return found->second;
     }
     if (m_accounts.size() >= max_teams)
@@ -29,8 +25,8 @@
     // What was forgotten instead had sent its requests elsewhere or not at all.
     if (m_accounts.size() >= max_teams)
         m_accounts.erase(m_accounts.begin());
-    account created(quota_bucket(rate, depth, m_keeping_since));
-    created.full_since = now;
+    account created(grant, m_keeping_since);
+    created.far_since = now;
     return m_accounts.emplace(team, created).first->second;
 }
 
@@ -38,15 +34,16 @@
 {
     constexpr double start_share = 0.5;
     constexpr double end_share = 0.75;
-    const double level = changed.bucket.level(now);
-    if (level < changed.bucket.depth() * end_share)
-        changed.full_since = now;
-    if (level < changed.bucket.depth() * start_share)
+    const double room = changed.requests.room(now);
+    const double most = changed.requests.grant().most_at_once();
+    if (room < most * end_share)
+        changed.far_since = now;
+    if (room < most * start_share)
     {
         if (!std::exchange(changed.is_metered, true))
             m_announcements.push_back(team);
     }
-    else if (now - changed.full_since >= m_bounds.window)
+    else if (now - changed.far_since >= m_bounds.window)
     {
         if (std::exchange(changed.is_metered, false))
             m_releases.push_back(team);
@@ -59,12 +56,12 @@
     using std::chrono::ceil;
     using std::chrono::milliseconds;
     constexpr int max_windows = 2;
-    const base::duration step = full.bucket.time_to_fill(1);
+    const base::duration step = full.requests.step();
     const base::time_point first =
-        std::max(now + full.bucket.time_to_room(now), full.last_return + step);
+        std::max(now + full.requests.time_to_room(now), full.last_return + step);
     // Those that wait longer are mixed with others that may have given up.
     const bool is_late = first > now + max_windows * m_bounds.window;
-    const base::time_point start = is_late ? now + full.bucket.time_to_room(now) : first;
+    const base::time_point start = is_late ? now + full.requests.time_to_room(now) : first;
     full.last_return = start + (count - 1) * step;
     result.retry_after = ceil<milliseconds>(start - now);
     result.retry_step = ceil<milliseconds>(step);
@@ -75,10 +72,10 @@
 {
     account& asked = find(question.team, quota, now);
     quota_answer result;
-    // The level before this question tells how long the bucket has been full.
+    // The room before this question tells how long the team has been far from its quota.
     update_episode(question.team, asked, now);
-    asked.bucket.charge(question.used, now);
-    while (result.granted < question.wanted && asked.bucket.take(now))
+    asked.requests.charge(question.used, now);
+    while (result.granted < question.wanted && asked.requests.take(now))
         ++result.granted;
     if (result.granted < question.wanted)
         refuse(asked, question.wanted - result.granted, result, now);
@@ -93,12 +90,8 @@
     {
         account& known = item->second;
         update_episode(item->first, known, now);
-        // A team that returns later finds the bucket full again only if it would be by then.
-        const bool is_new_start_full =
-            now - m_keeping_since > known.bucket.time_to_fill(known.bucket.depth());
-        const bool is_full = known.bucket.level(now) >= known.bucket.depth();
-        item = is_new_start_full && is_full && !known.is_metered ? m_accounts.erase(item)
-                                                                 : std::next(item);
+        item = known.requests.is_idle(now) && !known.is_metered ? m_accounts.erase(item)
+                                                                : std::next(item);
     }
 }
 
--- a/source/teams/quota_keeper.hpp
+++ b/source/teams/quota_keeper.hpp
@@ -12,8 +12,8 @@
 
 #include "base/clock.hpp"
 #include "teams/quota_bounds.hpp"
-#include "teams/quota_bucket.hpp"
 #include "teams/quota_question.hpp"
+#include "teams/quota_window.hpp"
 #include "teams/team.hpp"
 
 namespace ospreystair::teams
@@ -26,8 +26,8 @@
     standby
 };
 
-/// The keeper's side: one bucket a team. While a team is near its quota, it is metered: its
-/// requests need permits. Not thread-safe.
+/// The keeper's side: one count a team. While a team is near its quota, it is metered: its requests
+/// need permits. Not thread-safe.
 class quota_keeper
 {
 public:
@@ -43,8 +43,7 @@
     void set_bounds(const quota_bounds& bounds) { m_bounds = bounds; }
 
     /// The list of VMs has changed; `is_kept` tells whether this VM keeps a team from now on. A
-    /// team that it begins to keep may have used its burst elsewhere, so that its bucket starts
-    /// empty.
+    /// team that it begins to keep may have used its quota elsewhere.
     template<class Predicate>
     void on_vms_changed(base::time_point now, Predicate is_kept)
     {
@@ -57,7 +56,7 @@
     quota_answer answer(const quota_question& question, const request_quota& quota,
                         base::time_point now);
 
-    /// Forgets teams whose buckets are full; to be called about once in a window.
+    /// Forgets teams that have sent nothing lately; to be called about once in a window.
     void remove_idle(base::time_point now);
 
     /// Returns the teams that have become metered since the last call. All VMs have to hear of
@@ -72,12 +71,12 @@
 private:
     struct account
     {
-        explicit account(const quota_bucket& start) : bucket(start) {}
+        account(const quota_grant& grant, base::time_point since) : requests(grant, since) {}
 
-        quota_bucket bucket;
+        quota_window requests;
         bool is_metered = false;
-        // Since when the bucket has been nearly full.
-        base::time_point full_since{};
+        // Since when the team has been far from its quota.
+        base::time_point far_since{};
         // When the last of those that were refused may return.
         base::time_point last_return{};
     };
