Quota: Count a little longer than the window, and tell when nothing can be granted

A standby keeper with a margin for less than one request named no time of return. Change: keepers count 0.3 s longer than the window; a grant of less than one request names the window.

--- a/source/teams/quota_bounds.hpp
+++ b/source/teams/quota_bounds.hpp
@@ -24,6 +24,10 @@
     double excess = 0;
     double slack = 0;
 
+    /// A request may be sent this long after it was counted, and VMs learn of a new keeper within
+    /// about this time, so that keepers count that much longer than the window.
+    static constexpr std::chrono::milliseconds settle_time{300};
+
     bool operator==(const quota_bounds&) const = default;
 
     double window_seconds() const { return std::chrono::duration<double>(window).count(); }
@@ -41,12 +45,12 @@
         constexpr double margin_share = 0.25;
         constexpr double takeover_share = 0.8;
         quota_grant result;
-        result.window = window;
+        result.window = window + settle_time;
         result.capacity = std::max(min_capacity, quota.requests_per_second * window_seconds() +
                                                      quota.burst + margin(quota) * margin_share);
         result.takeover_rate =
             std::max(min_rate, std::min(quota.requests_per_second * takeover_share,
-                                        (result.capacity - 1) / window_seconds()));
+                                        (result.capacity - 1) / result.window_seconds()));
         return result;
     }
 
@@ -54,13 +58,13 @@
     /// of it in each window.
     quota_grant standby_grant(const request_quota& quota) const
     {
-        constexpr double share_at_once = 0.1;
-        constexpr double share_in_window = 0.2;
+        constexpr double share_in_window = 0.3;
+        constexpr double takeover_share = 0.2;
         quota_grant result;
-        result.window = window;
+        result.window = window + settle_time;
+        result.capacity = std::max(min_capacity, margin(quota) * share_in_window);
         result.takeover_rate =
-            std::max(min_rate, margin(quota) * share_in_window / window_seconds());
-        result.capacity = margin(quota) * share_at_once + result.takeover_rate * window_seconds();
+            std::max(min_rate, margin(quota) * takeover_share / result.window_seconds());
         return result;
     }
 
--- a/source/teams/quota_window.cpp
+++ b/source/teams/quota_window.cpp
@@ -11,6 +11,8 @@
 {
 
 constexpr int slots_in_window = 50;
+// The limits are sums of fractions.
+constexpr double rounding = 1e-6;
 
 double to_seconds(base::duration time)
 {
@@ -78,8 +80,6 @@
 
 bool quota_window::take(base::time_point now)
 {
-    // The limits are sums of fractions.
-    constexpr double rounding = 1e-6;
     if (room(now) < 1 - rounding)
         return false;
     charge(1, now);
@@ -89,7 +89,9 @@
 base::duration quota_window::time_to_room(base::time_point now)
 {
     expire(now);
-    base::duration result{};
+    // A grant of less than one request never has room.
+    base::duration result =
+        m_grant.most_at_once() < 1 - rounding ? m_grant.window : base::duration{};
     // Each limit of `room` grows at the takeover rate until its slot leaves the window.
     const auto wait_for = [&](double missing, base::duration longest)
     {
@@ -111,7 +113,7 @@
 
 base::duration quota_window::step() const
 {
-    return from_seconds(to_seconds(m_grant.window) / m_grant.capacity);
+    return from_seconds(m_grant.window_seconds() / m_grant.capacity);
 }
 
 bool quota_window::is_idle(base::time_point now)
--- a/source/teams/quota_window.hpp
+++ b/source/teams/quota_window.hpp
@@ -21,11 +21,10 @@
     double takeover_rate = 1;
     std::chrono::milliseconds window{5'000};
 
+    double window_seconds() const { return std::chrono::duration<double>(window).count(); }
+
     /// Requests that are granted at once after a quiet time.
-    double most_at_once() const
-    {
-        return capacity - takeover_rate * std::chrono::duration<double>(window).count();
-    }
+    double most_at_once() const { return capacity - takeover_rate * window_seconds(); }
 };
 
 /// Any window has at most `capacity` requests, also when another keeper takes over in the middle of
