--- a/source/teams/quota_bounds.hpp
+++ b/source/teams/quota_bounds.hpp
@@ -54,8 +54,8 @@
         return result;
     }
 
-    /// What a standby keeper grants: a tenth of the margin at once after a quiet time, and a fifth
-    /// of it in each window.
+    /// What a standby keeper grants: a tenth of the margin at once after a quiet time, and three
+    /// tenths of it in each window.
     quota_grant standby_grant(const request_quota& quota) const
     {
         constexpr double share_in_window = 0.3;
