Teams: Refuse a handover whose team was identified by an older configuration

What callers saw: a request with a key that was taken away 6 to 12 s before still ran. Cause: a VM that had lost its replicas and the store held the configuration from before; it identified the key and handed the request over by the team's name, and a VM with a newer configuration ran it, on shards that no configuration with that key had named. Gathered queries were safe, since their handover states a version; this one did not. Change: a handover names the version by which its team was identified; a receiver with a newer configuration refuses it as not run.

--- a/tests/fuzz/caller_request_fuzz.cpp
+++ b/tests/fuzz/caller_request_fuzz.cpp
@@ -53,7 +53,7 @@
     require_whole_lines(*message->head);
     for (const std::string team : {"", "team"})
     {
-        message->set_team(parser.get(), team);
+        message->set_team(parser.get(), team, 1);
         require_whole_lines(*message->head);
         fuzz::require(count_fields(*message->head, "credential") == 0);
         fuzz::require(count_fields(*message->head, "tenant") == (team.empty() ? 0 : 1));
--- a/tests/gateway/gateway_team_test.cpp
+++ b/tests/gateway/gateway_team_test.cpp
@@ -228,5 +228,26 @@
     expect_no_key_in_logs();
 }
 
+// Guards against a key that was taken away and still lets requests run, because a VM which has not
+// heard of it hands them over.
+TEST_F(gateway_team_handover_test, team_identified_by_an_older_configuration_is_refused)
+{
+    caller_message message;
+    message.path = "/one/q";
+    message.id = "outdated";
+    message.fields["Handed-Over-By"] = "vm1";
+    message.fields["Handover-Team"] = "flag";
+    for (const char* version : {"", "0", "x"})
+    {
+        message.fields["Handover-Team-Version"] = version;
+        EXPECT_EQ(m_fleet.hand_over(1, message).status, 503U) << version;
+    }
+    EXPECT_EQ(m_fleet.executions("outdated"), 0U);
+    message.id = "current";
+    message.fields["Handover-Team-Version"] = "1000000";
+    EXPECT_EQ(m_fleet.hand_over(1, message).status, 200U);
+    expect_team("current", "flag");
+}
+
 } // namespace
 } // namespace ospreystair::testing_support
--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -536,6 +536,13 @@
                     message.deadline + message.close_delay);
 }
 
+caller_answer platform_fleet::hand_over(std::size_t vm, caller_message message)
+{
+    if (message.id.empty())
+        message.id = make_id();
+    return exchange(endpoint_of(vm, first_peer_port), make_request(message), message.deadline);
+}
+
 std::string platform_fleet::make_id()
 {
     return fmt::format("request-{}", ++m_last_id);
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -170,6 +170,8 @@
     std::string metrics(std::size_t vm);
     /// Sends on a new connection.
     caller_answer send(std::size_t vm, caller_message message);
+    /// Sends a request as another VM does.
+    caller_answer hand_over(std::size_t vm, caller_message message);
     http::tcp::endpoint caller_address(std::size_t vm) const
     {
         return endpoint_of(vm, caller_port);
--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -253,7 +253,7 @@
     auto message = forwarded_message::create(received, reason);
     ASSERT_TRUE(message) << reason.message;
     const base::fingerprint without_team = message->fingerprint;
-    message->set_team(received, "real");
+    message->set_team(received, "real", 7);
     EXPECT_EQ(message->head->find("secret"), std::string::npos);
     EXPECT_EQ(message->head->find("forged"), std::string::npos);
     EXPECT_NE(message->head->find("Tenant: real\r\n"), std::string::npos);
@@ -261,6 +261,7 @@
     EXPECT_EQ(find_caller_key(received), "");
     const auto handed_over = make_handover_request(*message, "vm1", 7, 100ms);
     EXPECT_NE(handed_over.attempt_head.find("Handover-Team: real\r\n"), std::string::npos);
+    EXPECT_NE(handed_over.attempt_head.find("Handover-Team-Version: 7\r\n"), std::string::npos);
     EXPECT_EQ(handed_over.attempt_head.find("secret"), std::string::npos);
 }
 
