Quota: Visit the limits of a window in one place

Cause: room and time_to_room walked the same slots and computed the same limits, each with its own loop. Change: visit_limits serves both. No behaviour changes: a grant's most at once never exceeds its capacity.

--- a/source/teams/quota_window.cpp
+++ b/source/teams/quota_window.cpp
@@ -58,23 +58,26 @@
     m_count += count;
 }
 
-double quota_window::takeover_room(base::time_point now) const
+template<class Visitor>
+void quota_window::visit_limits(base::time_point now, Visitor visit) const
 {
-    return to_seconds(now - m_since) * m_grant.takeover_rate - m_count;
-}
-
-double quota_window::room(base::time_point now)
-{
-    expire(now);
-    double result = is_taking_over(now) ? takeover_room(now) : m_grant.capacity;
-    result = std::min(result, m_grant.most_at_once());
+    if (is_taking_over(now))
+        visit(to_seconds(now - m_since) * m_grant.takeover_rate - m_count,
+              m_since + m_grant.window - now);
     double count = 0;
     for (auto each = m_slots.rbegin(); each != m_slots.rend(); ++each)
     {
         count += each->count;
-        const double left = to_seconds(m_grant.window - (now - each->last));
-        result = std::min(result, m_grant.capacity - m_grant.takeover_rate * left - count);
+        const base::duration left = m_grant.window - (now - each->last);
+        visit(m_grant.capacity - m_grant.takeover_rate * to_seconds(left) - count, left);
     }
+}
+
+double quota_window::room(base::time_point now)
+{
+    expire(now);
+    double result = m_grant.most_at_once();
+    visit_limits(now, [&](double room, base::duration) { result = std::min(result, room); });
     return result;
 }
 
@@ -92,22 +95,13 @@
     // A grant of less than one request never has room.
     base::duration result =
         m_grant.most_at_once() < 1 - rounding ? m_grant.window : base::duration{};
-    // Each limit of `room` grows at the takeover rate until its slot leaves the window.
-    const auto wait_for = [&](double missing, base::duration longest)
-    {
-        const double seconds = std::min(to_seconds(longest), missing / m_grant.takeover_rate);
-        result = std::max(result, from_seconds(seconds));
-    };
-    if (is_taking_over(now))
-        wait_for(1 - takeover_room(now), m_since + m_grant.window - now);
-    double count = 0;
-    for (auto each = m_slots.rbegin(); each != m_slots.rend(); ++each)
-    {
-        count += each->count;
-        const base::duration left = m_grant.window - (now - each->last);
-        const double limit = m_grant.capacity - m_grant.takeover_rate * to_seconds(left);
-        wait_for(1 + count - limit, left);
-    }
+    visit_limits(now,
+                 [&](double room, base::duration left)
+                 {
+                     const double seconds =
+                         std::min(to_seconds(left), (1 - room) / m_grant.takeover_rate);
+                     result = std::max(result, from_seconds(seconds));
+                 });
     return result;
 }
 
--- a/source/teams/quota_window.hpp
+++ b/source/teams/quota_window.hpp
@@ -71,8 +71,10 @@
 
     // Forgets what has left the window.
     void expire(base::time_point now);
-    // Requests that have been allowed by the keeper's start so far, and are left.
-    double takeover_room(base::time_point now) const;
+    // Calls `visit(room, left)` for each limit: how many requests it leaves room for, and when it
+    // ends. Until then its room grows at the takeover rate.
+    template<class Visitor>
+    void visit_limits(base::time_point now, Visitor visit) const;
     bool is_taking_over(base::time_point now) const { return now < m_since + m_grant.window; }
 
     quota_grant m_grant;
