--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,7 @@
 # the deploy file, and the build of the deploy file for the gateway itself.
 set -eu
 cd "$(dirname "$0")/.."
+rm -rf target/review
 mkdir -p target/review
 flags="-std=c++20 -O1 -g1 -w -I. -Isource
   -DBOOST_ASIO_SEPARATE_COMPILATION -DBOOST_BEAST_SEPARATE_COMPILATION -DBOOST_ASIO_NO_DEPRECATED
