Forwarding: Start a request on the table that its route belongs to

Cause: a request that waited for the keeper of a quota was started on a route of the table before. dispatcher::submit took it for one of the current table, so that the shares of one version, kept by the route's name, chose among the services of the other. Change: submit takes the table, which the request keeps. Shares are kept for the current table only; a request of an earlier one draws its service by weight. This works because nothing indexes one table's services by another's shares any more.

--- a/source/forwarding/dispatcher.hpp
+++ b/source/forwarding/dispatcher.hpp
@@ -144,9 +144,11 @@
     }
     void set_repeat_limits(const repeat_limits& limits) { m_settings.repeats = limits; }
 
-    /// Starts a request on a route of `table()`. `on_answer` is called exactly once, possibly
+    /// Starts a request on a route of `table`, which may be older than `table()`: a request may
+    /// have waited since its route was looked up. `on_answer` is called exactly once, possibly
     /// before this returns.
-    std::shared_ptr<run_type> submit(caller_request<Message> request, const route& rule,
+    std::shared_ptr<run_type> submit(caller_request<Message> request,
+                                     std::shared_ptr<const route_table> table, const route& rule,
                                      typename run_type::completion on_answer)
     {
         std::shared_ptr<route_knowledge>& statistics = m_statistics[rule.name];
@@ -154,12 +156,13 @@
             statistics = std::make_shared<route_knowledge>();
         request.time_used = statistics->record_deadline(
             request.team ? request.team->name : std::string(), request.deadline, rule.timeout);
-        auto run = std::make_shared<run_type>(*this, std::move(request), m_table, rule, statistics,
-                                              std::move(on_answer));
+        const bool is_current = table == m_table;
+        auto run = std::make_shared<run_type>(*this, std::move(request), std::move(table), rule,
+                                              statistics, std::move(on_answer));
         if (rule.is_gather())
             run->start(rule.shards);
         else
-            run->start({choose_service(rule)});
+            run->start({choose_service(rule, is_current)});
         return run;
     }
 
@@ -585,10 +588,13 @@
         return static_cast<double>(m_random.below(resolution)) / static_cast<double>(resolution);
     }
 
-    const std::string& choose_service(const route& rule)
+    const std::string& choose_service(const route& rule, bool is_current)
     {
         if (rule.services.size() == 1)
             return rule.services.front().service;
+        // The route of this name in the current table may have other services.
+        if (!is_current)
+            return rule.services[draw_service(rule.services, m_random)].service;
         const auto split = m_splits.try_emplace(rule.name, rule.services, m_random).first;
         return rule.services[split->second.next()].service;
     }
@@ -748,6 +754,7 @@
     std::set<std::string> m_shards;
     // By route name.
     std::map<std::string, std::shared_ptr<route_knowledge>> m_statistics;
+    // Invariant: made for the routes of m_table.
     std::map<std::string, traffic_split> m_splits;
     // By service.
     std::unordered_map<std::string, repeat_budget> m_budgets;
--- a/source/forwarding/traffic_split.hpp
+++ b/source/forwarding/traffic_split.hpp
@@ -55,6 +55,28 @@
     std::vector<double> m_credits;
 };
 
+/// Returns the index of a service drawn at random by weight, without regard to earlier requests.
+template<base::random_source Random>
+std::size_t draw_service(std::span<const weighted_service> services, Random& random)
+{
+    constexpr std::uint64_t resolution = 1'000'000;
+    double total = 0;
+    for (const weighted_service& item : services)
+        total += item.weight;
+    double left = total * static_cast<double>(random.below(resolution)) / resolution;
+    std::size_t drawn = 0;
+    for (std::size_t index = 0; index < services.size(); ++index)
+    {
+        if (services[index].weight <= 0)
+            continue;
+        drawn = index;
+        left -= services[index].weight;
+        if (left < 0)
+            break;
+    }
+    return drawn;
+}
+
 } // namespace ospreystair::forwarding
 
 #endif
--- a/tests/unit/dispatcher_fixture.hpp
+++ b/tests/unit/dispatcher_fixture.hpp
@@ -235,6 +235,16 @@
         return result;
     }
 
+    /// Distributes requests evenly over `services`.
+    static route split(const std::vector<std::string>& services)
+    {
+        route result = single(true);
+        result.services.clear();
+        for (const std::string& service : services)
+            result.services.push_back({service, 1});
+        return result;
+    }
+
     static route gather(std::vector<std::string> shards, double min_coverage)
     {
         route result = single(true);
@@ -258,7 +268,8 @@
         const std::size_t number = m_answers.size();
         m_answers.emplace_back();
         m_answer.reset();
-        m_run = m_dispatcher.submit(std::move(request), m_dispatcher.table()->routes().front(),
+        const auto table = m_waited_since ? m_waited_since : m_dispatcher.table();
+        m_run = m_dispatcher.submit(std::move(request), table, table->routes().front(),
                                     [this, start, number](answer result)
                                     { record(number, start, std::move(result)); });
         m_run->on_reach_lost([this] { ++m_offers; });
@@ -328,6 +339,8 @@
     test_dispatcher m_dispatcher{m_clock,    m_random,    m_transport,
                                  m_observer, m_directory, {{0.2, 20, 10'000ms}, "a"}};
     std::shared_ptr<test_dispatcher::run_type> m_run;
+    // The table by which requests were routed before they waited; null for the current one.
+    std::shared_ptr<const route_table> m_waited_since;
     // The team of all requests.
     std::shared_ptr<const teams::team> m_team;
     // Requests offered to other VMs.
--- a/tests/unit/forwarding_dispatcher_test.cpp
+++ b/tests/unit/forwarding_dispatcher_test.cpp
@@ -461,6 +461,46 @@
     EXPECT_EQ(m_answer->receipts, (std::vector<std::string>{"receipt of a1", "receipt of b1"}));
 }
 
+// Guards against the shares of one configuration used with the services of another: a gateway
+// crashed when a version changed the parts of a split route while requests waited.
+TEST_F(dispatcher_test, request_that_waited_over_a_change_of_its_split_keeps_its_services)
+{
+    const std::vector<std::string> many = {"a", "b", "c", "d", "e", "f", "g", "h"};
+    const std::vector<std::string> few = {"x", "y"};
+    std::map<std::string, int> replicas;
+    for (const auto* const services : {&many, &few})
+        for (const std::string& service : *services)
+            replicas[service] = 1;
+    add_replicas(replicas);
+    const auto count_sent = [this](const std::vector<std::string>& services)
+    {
+        constexpr int rounds = 10;
+        m_transport.sent.clear();
+        for (std::size_t index = 0; index < rounds * services.size(); ++index)
+            submit_and_wait();
+        std::map<std::string, int> result;
+        for (const std::string& id : m_transport.sent)
+            ++result[id];
+        for (const std::string& service : services)
+            EXPECT_NEAR(result[service + "1"], rounds, 1) << service;
+        EXPECT_EQ(result.size(), services.size());
+    };
+    for (const auto& [before, after] : {std::pair(many, few), std::pair(few, many)})
+    {
+        adopt(split(before));
+        m_waited_since = m_dispatcher.table();
+        adopt(split(after));
+        for (int index = 0; index < 8; ++index)
+        {
+            submit_and_wait();
+            EXPECT_NE(std::find(before.begin(), before.end(), m_transport.sent.back().substr(0, 1)),
+                      before.end());
+        }
+        m_waited_since.reset();
+        count_sent(after);
+    }
+}
+
 // Guards against attempts that continue after the caller has closed its connection.
 TEST_F(dispatcher_test, caller_disconnect_stops_work_within_half_a_second)
 {
@@ -695,7 +735,7 @@
         const route* const rule =
             m_dispatcher.table()->find_route("h", "/" + id.substr(0, id.find(' ')) + "/");
         ASSERT_NE(rule, nullptr);
-        runs.push_back(m_dispatcher.submit(std::move(request), *rule,
+        runs.push_back(m_dispatcher.submit(std::move(request), m_dispatcher.table(), *rule,
                                            [&answered, id](const answer& result)
                                            {
                                                EXPECT_EQ(result.kind, answer_kind::relayed);
--- a/tests/unit/forwarding_route_test.cpp
+++ b/tests/unit/forwarding_route_test.cpp
@@ -132,6 +132,32 @@
     }
 }
 
+// Guards against draws that ignore the weights, and against a service of weight 0 that is drawn.
+RC_GTEST_PROP(traffic_split_test, draws_follow_the_weights, (std::uint64_t seed))
+{
+    const auto weights = *rc::gen::container<std::vector<unsigned>>(4, rc::gen::inRange(0U, 10U));
+    std::vector<weighted_service> services;
+    double total = 0;
+    for (const unsigned weight : weights)
+    {
+        services.push_back({"s", static_cast<double>(weight)});
+        total += weight;
+    }
+    RC_PRE(total > 0);
+    base::seeded_random random(seed);
+    std::vector<double> counts(services.size());
+    constexpr int requests = 4'000;
+    for (int index = 0; index < requests; ++index)
+        ++counts[draw_service(services, random)];
+    for (std::size_t index = 0; index < services.size(); ++index)
+    {
+        // Six standard deviations of a count.
+        RC_ASSERT(std::abs(counts[index] - requests * services[index].weight / total) <= 190);
+        if (services[index].weight == 0)
+            RC_ASSERT(counts[index] == 0);
+    }
+}
+
 std::string record(char first, char last)
 {
     std::string result(record_bytes, 'm');
