Http: Carry each request once on a connection to a replica

Callers saw: orders that must not be repeated ran twice, or were answered 503 and had run, when replicas sent a refusal a second time. Cause: a reply is matched by the request's id, which is the same for each sending. A refused order went to the same replica again on the connection of its refusal; the late copy of the refusal was taken for the answer to the second sending, and the order sent once more. Change: a connection knows the last ids that it has carried (http/sent_ids). The stand-in of replicas sends copies late and answers with given statuses.

--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/basic_stream_socket.hpp>
 
@@ -16,6 +17,7 @@
 #include "http/byte_budget.hpp"
 #include "http/client_connection.hpp"
 #include "http/reply_parser.hpp"
+#include "http/sent_ids.hpp"
 
 namespace ospreystair::http
 {
@@ -53,10 +55,11 @@
 };
 
 /// Reads continuously, so that a closure by the other side is noticed at once and bytes that belong
-/// to no request are dropped: a late second reply is recognised by its id. A connection that no
-/// longer responds is not detected here: the next reply on it is overdue, and the owner closes the
-/// connection. All members belong to the context's only thread; result handlers are never called
-/// from within a call of a member.
+/// to no request are dropped: a late second reply is recognised by its id. The id names the request
+/// and not one sending of it, so that a connection must not carry an id twice (`has_carried`). A
+/// connection that no longer responds is not detected here: the next reply on it is overdue, and
+/// the owner closes the connection. All members belong to the context's only thread; result
+/// handlers are never called from within a call of a member.
 class upstream_connection : public std::enable_shared_from_this<upstream_connection>
 {
 public:
@@ -90,6 +93,9 @@
 
     bool is_open() const { return m_state == state::open; }
     bool is_free() const { return m_state != state::closed && !m_on_result; }
+    /// Whether a request with this id was sent before, so that a late copy of its reply would be
+    /// taken for the reply to the next sending.
+    bool has_carried(std::string_view id) const { return m_sent_ids.contains(id); }
 
 private:
     // A socket with a concrete executor: copying the polymorphic executor took 3% of the processor
@@ -146,6 +152,7 @@
     // Set while a request is in flight.
     result_handler m_on_result;
     std::shared_ptr<upstream_request> m_message;
+    sent_ids m_sent_ids;
     exchange_progress m_progress = exchange_progress::nothing_sent;
     bool m_is_write_done = true;
 };
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -40,6 +40,8 @@
     http::tcp::socket socket;
     std::string sender;
     boost::beast::flat_buffer buffer;
+    // The last answer, to be sent once more.
+    std::string last_answer;
 };
 
 replica_standin::replica_standin(http::asio::io_context& context, std::string id)
@@ -174,6 +176,13 @@
     return m_executions;
 }
 
+std::vector<unsigned> replica_standin::statuses_of(const std::string& request_id) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_statuses.find(request_id);
+    return found == m_statuses.end() ? std::vector<unsigned>{} : found->second;
+}
+
 std::uint64_t replica_standin::arrivals() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -264,6 +273,13 @@
     std::from_chars(text.data(), text.data() + text.size(), deadline);
     m_deadlines.emplace_back(deadline);
     replica_behaviour behaviour = m_behaviour;
+    if (!m_behaviour.next_statuses.empty())
+    {
+        constexpr unsigned refusal_status = 503;
+        behaviour.status = m_behaviour.next_statuses.front();
+        behaviour.refuses = behaviour.status == refusal_status;
+        m_behaviour.next_statuses.pop_front();
+    }
     const auto expected = message["Target-Instance"];
     if (!expected.empty() && expected != m_id)
     {
@@ -288,6 +304,7 @@
     const std::scoped_lock lock(m_mutex);
     constexpr unsigned misdirected = 421;
     const unsigned status = behaviour.refuses ? 503 : behaviour.status;
+    m_statuses[std::string(message["Request-Id"])].push_back(status);
     std::string text = fmt::format("HTTP/1.1 {} Status\r\nRequest-Id: {}\r\nServer-Load: 1,0,2\r\n",
                                    status, std::string(message["Request-Id"]));
     if (behaviour.refuses && !behaviour.retry_after.empty())
@@ -382,6 +399,11 @@
         co_return false;
     }
     std::string text = make_reply_text(message, behaviour);
+    const std::string late = std::exchange(client_session->last_answer, {});
+    if (behaviour.repeats_answers_late)
+        client_session->last_answer = text;
+    if (!late.empty() && !co_await send(client_session, late))
+        co_return false;
     if (behaviour.truncates)
         text.resize(text.size() - behaviour.body.size() / 2);
     if (behaviour.appends_garbage)
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -5,6 +5,7 @@
 #define OSPREYSTAIR_STANDINS_USERS_PLATFORM_REPLICA_STANDIN_HPP
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -43,6 +44,11 @@
     bool truncates = false;
     /// Sends a second answer to the same request after a short delay.
     bool repeats_answers = false;
+    /// Sends each answer a second time, in front of the answer to the next request on its
+    /// connection.
+    bool repeats_answers_late = false;
+    /// Statuses of the answers to the next requests, in their order; 503 is a refusal.
+    std::deque<unsigned> next_statuses = {};
     /// Sends bytes that do not belong to an HTTP reply after each answer.
     bool appends_garbage = false;
     /// Sends no Content-Length; closing the connection marks the end of the body.
@@ -111,6 +117,8 @@
 
     /// Number of executions by request id.
     std::map<std::string, unsigned> executions() const;
+    /// Statuses of the replica's answers to a request, in their order, without second copies.
+    std::vector<unsigned> statuses_of(const std::string& request_id) const;
     /// Requests that arrived, run or not.
     std::uint64_t arrivals() const;
     /// Requests whose connection was closed before they were answered.
@@ -152,6 +160,7 @@
     std::string m_id;
     replica_behaviour m_behaviour;
     std::map<std::string, unsigned> m_executions;
+    std::map<std::string, std::vector<unsigned>> m_statuses;
     std::set<std::shared_ptr<session>> m_sessions;
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_abandoned = 0;
--- a/tests/gateway/gateway_path_test.cpp
+++ b/tests/gateway/gateway_path_test.cpp
@@ -27,6 +27,13 @@
     platform_fleet m_fleet{{}};
 };
 
+/// A gateway with one replica of each service.
+class gateway_late_copy_test : public testing::Test
+{
+protected:
+    platform_fleet m_fleet{{.replicas = 1}};
+};
+
 // Guards against a gathered answer without one receipt from each shard.
 TEST_F(gateway_path_test, gathered_query_returns_greatest_records_and_all_receipts)
 {
@@ -114,6 +121,31 @@
     EXPECT_EQ(m_fleet.executions("once"), 1U);
 }
 
+// Guards against orders that run twice, or that are refused and have run: a second copy of a
+// refusal was taken for the answer to the same order, which had been sent again on its connection.
+TEST_F(gateway_late_copy_test, late_copy_of_a_refusal_does_not_answer_the_next_sending)
+{
+    caller_message message;
+    message.path = "/once/q";
+    message.method = "POST";
+    message.body = "booking";
+    for (int round = 0; round < 20; ++round)
+    {
+        m_fleet.change_replica("single-0",
+                               [](auto& each)
+                               {
+                                   each.latency = 20ms;
+                                   each.next_statuses = {503};
+                                   each.repeats_answers_late = true;
+                               });
+        message.id = "order-" + std::to_string(round);
+        const caller_answer answer = m_fleet.send(0, message);
+        EXPECT_EQ(answer.status, 200U) << answer.reason;
+        std::this_thread::sleep_for(50ms);
+        EXPECT_EQ(m_fleet.executions(message.id), 1U) << message.id;
+    }
+}
+
 // Guards against a 503 without Retry-After for a request that no replica has run.
 TEST_F(gateway_path_test, request_refused_by_all_replicas_gets_retry_after)
 {
