--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -118,9 +118,10 @@
         item.settings_path = fmt::format("{}/{}.toml", m_folder, item.name);
         item.program = m_options.program;
         write_settings(item);
-        start(index);
+        if (index + m_options.late_vms < m_options.vms)
+            start(index);
     }
-    for (std::size_t index = 0; index < m_options.vms; ++index)
+    for (std::size_t index = 0; index + m_options.late_vms < m_options.vms; ++index)
         EXPECT_TRUE(wait_until_ready(index)) << log(index);
 }
 
@@ -401,7 +402,7 @@
 void platform_fleet::warm_up(std::size_t vm)
 {
     constexpr int requests = 10;
-    const std::string listed = fmt::format("\"vms\":{},", m_options.vms);
+    const std::string listed = fmt::format("\"vms\":{},", m_options.vms - m_options.late_vms);
     EXPECT_TRUE(
         wait_until(start_timeout, [&] { return log(vm).find(listed) != std::string::npos; }));
     for (int index = 0; index < requests; ++index)
--- a/tests/gateway/platform_fleet.hpp
+++ b/tests/gateway/platform_fleet.hpp
@@ -91,6 +91,8 @@
 struct fleet_options
 {
     std::size_t vms = 1;
+    /// The last ones of `vms`, which are started by `start` only.
+    std::size_t late_vms = 0;
     /// Shards of the gathered route "/all/", named "shard0" and so on.
     std::size_t shards = 4;
     std::size_t replicas = 2;
