Gateway: Show that a success is the answer to the last sending

Callers saw (the users' runs, rule MIXED): a success where the replica had answered with a failure, with replicas that answer twice. A late copy of a refusal ended a sending early, and the answer to that sending was taken for the answer to the next, which ended otherwise. The users' own runs cannot be played here.

--- a/tests/gateway/gateway_path_test.cpp
+++ b/tests/gateway/gateway_path_test.cpp
@@ -146,6 +146,31 @@
     }
 }
 
+// Guards against a success where the replica's answer was a failure: the answer to one sending was
+// taken for that to the next, which ended otherwise.
+TEST_F(gateway_late_copy_test, success_is_the_answer_to_the_last_sending)
+{
+    caller_message message;
+    message.path = "/one/q";
+    for (int round = 0; round < 20; ++round)
+    {
+        m_fleet.change_replica("single-0",
+                               [](auto& each)
+                               {
+                                   each.latency = 20ms;
+                                   each.next_statuses = {503, 200, 500};
+                                   each.repeats_answers_late = true;
+                               });
+        message.id = "read-" + std::to_string(round);
+        const caller_answer answer = m_fleet.send(0, message);
+        EXPECT_EQ(answer.status, 200U) << answer.reason;
+        std::this_thread::sleep_for(50ms);
+        EXPECT_EQ(m_fleet.replica("single-0").statuses_of(message.id),
+                  (std::vector<unsigned>{503, 200}))
+            << message.id;
+    }
+}
+
 // Guards against a 503 without Retry-After for a request that no replica has run.
 TEST_F(gateway_path_test, request_refused_by_all_replicas_gets_retry_after)
 {
