--- a/tests/gateway/gateway_change_test.cpp
+++ b/tests/gateway/gateway_change_test.cpp
@@ -214,6 +214,34 @@
     EXPECT_NE(m_fleet.log(0).find("registration_ignored"), std::string::npos);
 }
 
+// Guards against one entry of another writer that makes the list of replicas unreadable: VMs did
+// not hear of any later change, and a VM that started had no replicas.
+TEST_F(gateway_change_test, entry_nested_too_deeply_hides_no_other)
+{
+    constexpr int depth = 2'000;
+    Json::Value odd;
+    for (int level = 0; level < depth; ++level)
+    {
+        Json::Value outer(Json::arrayValue);
+        outer.append(std::move(odd));
+        odd = std::move(outer);
+    }
+    Json::Value entry(Json::objectValue);
+    entry["slots"] = std::move(odd);
+    m_fleet.store().put("servers", "odd", std::move(entry));
+    sleep_for(500ms);
+    m_fleet.register_replica("single-0", "draining");
+    sleep_for(1500ms);
+    const std::uint64_t before = m_fleet.replica("single-0").arrivals();
+    for (int round = 0; round < 10; ++round)
+        EXPECT_EQ(status_of("/one/q"), 200U);
+    EXPECT_EQ(m_fleet.replica("single-0").arrivals(), before);
+    m_fleet.vm(0).process->kill();
+    m_fleet.start(0);
+    ASSERT_TRUE(m_fleet.wait_until_ready(0));
+    EXPECT_EQ(status_of("/one/q"), 200U);
+}
+
 // Guards against a store outage that ends service, and against a 404 for a route that may have been
 // added during the outage.
 TEST_F(gateway_change_test, store_outage_keeps_service_and_answers_503_for_unknown_routes)
