Gateway: Answer the requests that outlast a planned stop

Callers saw (reported by operators of other systems): at the end of the grace time of a planned stop, requests that had been passed on were cut without an answer, also late ones and those that must not be repeated. Cause: stop_gracefully stopped the context with requests in progress. Evidence: the test, before: status 0, "end of stream", for a request 0.2 s before the signal and for one 2.5 s after it. A request 3.5 s after the signal was not read, so that late taking is not the cause here.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -154,6 +154,17 @@
     /// Ends the request, which may have run, because another VM can serve it better.
     void on_out_of_reach() { end(answer_kind::failed, "this VM has lost all replicas", true); }
 
+    /// Answers with the parts that are there, since this VM stops.
+    void on_vm_stopping()
+    {
+        if (m_is_finished)
+            return;
+        if (m_answered >= required_parts())
+            finish_success();
+        else
+            finish_failure(true);
+    }
+
     /// `action` is called at most once, when this VM has lost all replicas while the request waits
     /// for them and another VM may run it too.
     void on_reach_lost(std::function<void()> action) { m_on_reach_lost = std::move(action); }
--- a/tests/gateway/gateway_change_test.cpp
+++ b/tests/gateway/gateway_change_test.cpp
@@ -1,6 +1,7 @@
 // Changes while a gateway process serves requests: configurations, draining replicas, outages of
 // the store, stops and settings.
 
+#include <array>
 #include <csignal>
 #include <fstream>
 #include <thread>
@@ -298,6 +299,51 @@
     EXPECT_EQ(m_fleet.vm(0).process->wait(6s), 0);
 }
 
+class gateway_stop_test : public testing::Test
+{
+protected:
+    // Longer than the grace time of a planned stop.
+    static constexpr std::chrono::milliseconds long_time = 9s;
+
+    gateway_stop_test()
+    {
+        m_fleet.change_all_replicas([](auto& each) { each.never_answers = true; });
+    }
+
+    /// Sends a request that no replica answers.
+    caller_answer send_order(const std::string& id)
+    {
+        return m_fleet.send(
+            0, {.path = "/once/q", .method = "POST", .id = id, .body = "x", .deadline = long_time});
+    }
+
+    platform_fleet m_fleet{{.timeout = long_time}};
+};
+
+// Guards against connections that a planned stop closes without an answer to a request which has
+// been passed on, early or late in the grace time.
+TEST_F(gateway_stop_test, requests_that_outlast_a_planned_stop_are_answered_that_they_may_have_run)
+{
+    std::vector<std::thread> callers;
+    std::array<caller_answer, 2> answers;
+    callers.emplace_back([&] { answers[0] = send_order("early"); });
+    sleep_for(200ms);
+    m_fleet.vm(0).process->terminate();
+    sleep_for(2'500ms);
+    callers.emplace_back([&] { answers[1] = send_order("late"); });
+    sleep_for(1'000ms);
+    // Three seconds after the signal nothing is taken any more.
+    EXPECT_FALSE(send_order("too late").is_sent);
+    for (std::thread& each : callers)
+        each.join();
+    EXPECT_EQ(m_fleet.vm(0).process->wait(3s), 0);
+    for (const caller_answer& answer : answers)
+        EXPECT_EQ(answer.status, 504U) << answer.reason;
+    EXPECT_EQ(m_fleet.executions("early"), 1U);
+    EXPECT_EQ(m_fleet.executions("late"), 1U);
+    EXPECT_EQ(m_fleet.executions("too late"), 0U);
+}
+
 // Guards against settings that take effect only after a restart.
 TEST_F(gateway_change_test, changed_settings_file_is_read_with_and_without_signal)
 {
