Tests: Name the table of requests in all tests of the dispatcher

Cause: changed dispatcher::submit and left two callers in the fairness tests, which did not build until now. Two properties of traffic_split drew their weights alike. Change: the callers name the table; the properties share the draw.

--- a/tests/unit/forwarding_fairness_test.cpp
+++ b/tests/unit/forwarding_fairness_test.cpp
@@ -57,14 +57,14 @@
         request.team = team;
         counts& own = m_counts[team->name + " " + route_name];
         ++own.sent;
-        m_runs.push_back(
-            m_dispatcher.submit(std::move(request), *m_dispatcher.table()->find_named(route_name),
-                                [this, name = team->name, &own](const answer& result)
-                                {
-                                    own.served += result.kind == answer_kind::relayed ? 1 : 0;
-                                    if (result.kind == answer_kind::relayed)
-                                        m_served.push_back(name);
-                                }));
+        m_runs.push_back(m_dispatcher.submit(
+            std::move(request), m_dispatcher.table(), *m_dispatcher.table()->find_named(route_name),
+            [this, name = team->name, &own](const answer& result)
+            {
+                own.served += result.kind == answer_kind::relayed ? 1 : 0;
+                if (result.kind == answer_kind::relayed)
+                    m_served.push_back(name);
+            }));
     }
 
     // By team and route.
@@ -147,7 +147,7 @@
         request.team = team;
         int missing = -1;
         const auto run = m_dispatcher.submit(
-            std::move(request), m_dispatcher.table()->routes().front(),
+            std::move(request), m_dispatcher.table(), m_dispatcher.table()->routes().front(),
             [&missing](const answer& result) { missing = static_cast<int>(result.missing_parts); });
         run_for(1200ms);
         return missing;
--- a/tests/unit/forwarding_route_test.cpp
+++ b/tests/unit/forwarding_route_test.cpp
@@ -106,17 +106,28 @@
     EXPECT_EQ(gather.min_parts(), 1U);
 }
 
+std::vector<weighted_service> make_weighted_services()
+{
+    std::vector<weighted_service> result;
+    for (const unsigned weight :
+         *rc::gen::container<std::vector<unsigned>>(4, rc::gen::inRange(0U, 10U)))
+        result.push_back({"s", static_cast<double>(weight)});
+    return result;
+}
+
+double sum_weights(const std::vector<weighted_service>& services)
+{
+    double result = 0;
+    for (const weighted_service& item : services)
+        result += item.weight;
+    return result;
+}
+
 // Guards against a random distribution: each service must be within one request of its share.
 RC_GTEST_PROP(traffic_split_test, any_weights_are_kept_within_one_request, (std::uint64_t seed))
 {
-    const auto weights = *rc::gen::container<std::vector<unsigned>>(4, rc::gen::inRange(0U, 10U));
-    std::vector<weighted_service> services;
-    double total = 0;
-    for (const unsigned weight : weights)
-    {
-        services.push_back({"s", static_cast<double>(weight)});
-        total += weight;
-    }
+    const std::vector<weighted_service> services = make_weighted_services();
+    const double total = sum_weights(services);
     RC_PRE(total > 0);
     base::seeded_random random(seed);
     traffic_split split(services, random);
@@ -135,14 +146,8 @@
 // Guards against draws that ignore the weights, and against a service of weight 0 that is drawn.
 RC_GTEST_PROP(traffic_split_test, draws_follow_the_weights, (std::uint64_t seed))
 {
-    const auto weights = *rc::gen::container<std::vector<unsigned>>(4, rc::gen::inRange(0U, 10U));
-    std::vector<weighted_service> services;
-    double total = 0;
-    for (const unsigned weight : weights)
-    {
-        services.push_back({"s", static_cast<double>(weight)});
-        total += weight;
-    }
+    const std::vector<weighted_service> services = make_weighted_services();
+    const double total = sum_weights(services);
     RC_PRE(total > 0);
     base::seeded_random random(seed);
     std::vector<double> counts(services.size());
