--- a/source/forwarding/traffic_split.hpp
+++ b/source/forwarding/traffic_split.hpp
@@ -13,6 +13,14 @@
 namespace ospreystair::forwarding
 {
 
+inline double sum_weights(std::span<const weighted_service> services)
+{
+    double result = 0;
+    for (const weighted_service& item : services)
+        result += item.weight;
+    return result;
+}
+
 /// Smooth weighted round robin: after n requests each service has received its share of n, to
 /// within one request. The initial credits are random, so that many VMs with few requests each do
 /// not all start with the same service.
@@ -23,9 +31,7 @@
     traffic_split(std::span<const weighted_service> services, Random& random)
     {
         constexpr std::uint64_t resolution = 1'000'000;
-        double total = 0;
-        for (const weighted_service& item : services)
-            total += item.weight;
+        const double total = sum_weights(services);
         for (const weighted_service& item : services)
         {
             m_shares.push_back(total > 0 ? item.weight / total : 0);
@@ -60,10 +66,8 @@
 std::size_t draw_service(std::span<const weighted_service> services, Random& random)
 {
     constexpr std::uint64_t resolution = 1'000'000;
-    double total = 0;
-    for (const weighted_service& item : services)
-        total += item.weight;
-    double left = total * static_cast<double>(random.below(resolution)) / resolution;
+    double left =
+        sum_weights(services) * static_cast<double>(random.below(resolution)) / resolution;
     std::size_t drawn = 0;
     for (std::size_t index = 0; index < services.size(); ++index)
     {
--- a/tests/unit/forwarding_route_test.cpp
+++ b/tests/unit/forwarding_route_test.cpp
@@ -115,14 +115,6 @@
     return result;
 }
 
-double sum_weights(const std::vector<weighted_service>& services)
-{
-    double result = 0;
-    for (const weighted_service& item : services)
-        result += item.weight;
-    return result;
-}
-
 // Guards against a random distribution: each service must be within one request of its share.
 RC_GTEST_PROP(traffic_split_test, any_weights_are_kept_within_one_request, (std::uint64_t seed))
 {
