Tests: Share the set-up of teams and the check of a drained replica

Cause: two fixtures of the quota test wrote the same team entry, and three tests the same check of a replica without new work. Change: add_team and expect_no_new_work; bounds, rounds and expectations as they were.

--- a/tests/gateway/gateway_change_test.cpp
+++ b/tests/gateway/gateway_change_test.cpp
@@ -28,6 +28,15 @@
         return m_fleet.send(0, message).status;
     }
 
+    /// Sends requests, which must be served without the replica.
+    void expect_no_new_work(const std::string& replica)
+    {
+        const std::uint64_t before = m_fleet.replica(replica).arrivals();
+        for (int round = 0; round < 10; ++round)
+            EXPECT_EQ(status_of("/one/q"), 200U);
+        EXPECT_EQ(m_fleet.replica(replica).arrivals(), before);
+    }
+
     void add_route(const std::string& prefix)
     {
         m_fleet.configuration()["routes"].append(
@@ -119,10 +128,7 @@
 {
     m_fleet.register_replica("single-0", "draining");
     sleep_for(1500ms);
-    const std::uint64_t before = m_fleet.replica("single-0").arrivals();
-    for (int round = 0; round < 10; ++round)
-        EXPECT_EQ(status_of("/one/q"), 200U);
-    EXPECT_EQ(m_fleet.replica("single-0").arrivals(), before);
+    expect_no_new_work("single-0");
 }
 
 // Guards against a VM that learns of no change until a long watch ends, because the store was
@@ -139,10 +145,7 @@
     sleep_for(4s);
     m_fleet.register_replica("single-0", "draining");
     sleep_for(3s);
-    const std::uint64_t before = m_fleet.replica("single-0").arrivals();
-    for (int round = 0; round < 10; ++round)
-        EXPECT_EQ(status_of("/one/q"), 200U);
-    EXPECT_EQ(m_fleet.replica("single-0").arrivals(), before);
+    expect_no_new_work("single-0");
 }
 
 // Guards against new requests for a replica that has announced its stop in a reply, while the store
@@ -233,10 +236,7 @@
     sleep_for(500ms);
     m_fleet.register_replica("single-0", "draining");
     sleep_for(1500ms);
-    const std::uint64_t before = m_fleet.replica("single-0").arrivals();
-    for (int round = 0; round < 10; ++round)
-        EXPECT_EQ(status_of("/one/q"), 200U);
-    EXPECT_EQ(m_fleet.replica("single-0").arrivals(), before);
+    expect_no_new_work("single-0");
     m_fleet.vm(0).process->kill();
     m_fleet.start(0);
     ASSERT_TRUE(m_fleet.wait_until_ready(0));
--- a/tests/gateway/gateway_quota_test.cpp
+++ b/tests/gateway/gateway_quota_test.cpp
@@ -18,6 +18,16 @@
 
 using namespace std::chrono_literals;
 
+void add_team(platform_fleet& fleet, const std::string& name, double rate, double burst)
+{
+    Json::Value team;
+    team["name"] = name;
+    team["apiKeys"].append("key-of-" + name);
+    team["ratePerS"] = rate;
+    team["burst"] = burst;
+    fleet.configuration()["tenants"].append(team);
+}
+
 class gateway_quota_test : public testing::Test
 {
 protected:
@@ -26,24 +36,14 @@
 
     gateway_quota_test()
     {
-        add_team("hot", 4, 10);
-        add_team("calm", 40, 40);
+        add_team(m_fleet, "hot", 4, 10);
+        add_team(m_fleet, "calm", 40, 40);
         m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 5ms; });
         m_fleet.publish();
         for (std::size_t vm = 0; vm < vm_count; ++vm)
             m_fleet.warm_up(vm);
     }
 
-    void add_team(const std::string& name, double rate, double burst)
-    {
-        Json::Value team;
-        team["name"] = name;
-        team["apiKeys"].append("key-of-" + name);
-        team["ratePerS"] = rate;
-        team["burst"] = burst;
-        m_fleet.configuration()["tenants"].append(team);
-    }
-
     /// Sends requests of a team in turn to all VMs; returns the answers.
     std::vector<caller_answer> send_for(std::chrono::steady_clock::duration time,
                                         const std::string& team, std::chrono::milliseconds interval)
@@ -102,14 +102,7 @@
     {
         choose_teams();
         for (const std::string& name : m_teams)
-        {
-            Json::Value team;
-            team["name"] = name;
-            team["apiKeys"].append("key-of-" + name);
-            team["ratePerS"] = rate;
-            team["burst"] = 0;
-            m_fleet.configuration()["tenants"].append(team);
-        }
+            add_team(m_fleet, name, rate, 0);
         m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 5ms; });
         m_fleet.publish();
         for (std::size_t vm = 0; vm < vm_count; ++vm)
