Gateway: Log which sending an answer belongs to, and the replies that were dropped

A caller got a success that the replica's record does not know. Nothing in the log told a late copy, a reply without an id, a hedge's answer and another VM's answer apart: a complete answer was logged once in 50 and without its receipt, and dropped replies not at all. No decision changed.

--- a/source/forwarding/answer.hpp
+++ b/source/forwarding/answer.hpp
@@ -44,6 +44,13 @@
     return "failed";
 }
 
+/// The reply to a part, as far as it identifies a run of the request.
+struct part_reply
+{
+    reply_source source;
+    std::string receipt;
+};
+
 struct answer
 {
     answer_kind kind = answer_kind::failed;
@@ -52,6 +59,8 @@
     /// Set with `gathered`: the receipts of the answered parts, the number of missing parts, and
     /// the merged records.
     std::vector<std::string> receipts;
+    /// Set with `gathered`: the replies to the parts that were sent more than once.
+    std::vector<part_reply> repeated_parts;
     std::size_t missing_parts = 0;
     std::string records;
     /// Set with `not_run`: how long the caller should wait before it sends the request again.
--- a/source/forwarding/attempt.hpp
+++ b/source/forwarding/attempt.hpp
@@ -4,6 +4,7 @@
 #define OSPREYSTAIR_FORWARDING_ATTEMPT_HPP
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -17,10 +18,22 @@
 namespace ospreystair::forwarding
 {
 
+/// The sending of a request that a reply answers.
+struct reply_source
+{
+    /// Id of the replica; empty when it is not known.
+    std::string replica;
+    /// Number of the sending among all sendings of the request by this VM, from 1.
+    std::uint32_t sending = 0;
+    /// Number of the connection among all connections of this VM.
+    std::uint64_t connection = 0;
+};
+
 /// A complete reply of a replica.
 struct replica_reply
 {
     unsigned status = 0;
+    reply_source source;
     /// The replica's proof that it answered this request; empty when the reply has none.
     std::string receipt;
     std::string body;
@@ -103,6 +116,10 @@
     /// Expired once the request has been answered.
     std::weak_ptr<Run> run;
     std::size_t part = 0;
+    /// Number of the sending among all sendings of the request by this VM, from 1.
+    std::uint32_t sending = 0;
+    /// Number of the connection among all connections of this VM; 0 until the attempt is sent.
+    std::uint64_t connection = 0;
     /// Recognises requests with the same content.
     base::fingerprint fingerprint;
     base::time_point sent_at{};
@@ -117,6 +134,8 @@
     /// Whether the request was sent to this service before (retry or hedge).
     bool is_repeat = false;
     bool is_ended = false;
+
+    reply_source source() const { return {target->registry_entry().id, sending, connection}; }
 };
 
 } // namespace ospreystair::forwarding
--- a/source/forwarding/query_part.cpp
+++ b/source/forwarding/query_part.cpp
@@ -20,6 +20,8 @@
     {
         if (item.state == part_state::answered)
         {
+            if (item.tried.size() > 1)
+                result.repeated_parts.push_back({item.reply.source, item.reply.receipt});
             result.receipts.push_back(std::move(item.reply.receipt));
             bodies.push_back(item.reply.body);
             continue;
--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -116,6 +116,9 @@
         if (may_have_run(result.outcome))
             m_may_have_run = true;
         m_caution.record(result, m_dispatcher.now());
+        // Most parts of a gathered query are sent once and need no source.
+        if (!m_route.is_gather() || owner.tried.size() > 1)
+            result.reply.source = ended.source();
         m_dispatcher.report_attempt(*this, owner.service, ended, result);
         if (result.outcome == attempt_outcome::succeeded ||
             (result.outcome == attempt_outcome::failed && is_final_failure(result)))
@@ -174,6 +177,8 @@
     const route& rule() const { return m_route; }
     std::uint64_t version() const { return m_table->version(); }
     bool is_finished() const { return m_is_finished; }
+    /// Number of attempts sent so far.
+    std::uint32_t send_count() const { return m_send_count; }
     urgency rank() const
     {
         const int own = m_route.priority;
@@ -437,6 +442,7 @@
         next->message = m_request.message;
         next->run = this->weak_from_this();
         next->part = index;
+        next->sending = m_send_count + 1;
         next->fingerprint = m_request.fingerprint;
         next->sent_at = now;
         next->deadline = m_deadline_budget.end();
--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -217,10 +217,16 @@
     constexpr unsigned first_final_status = 200;
     const bool closes_connection = !m_parser->keep_alive();
     // An interim (1xx) reply is followed by the final one.
-    if (m_parser->status() >= first_final_status && is_expected())
+    const bool is_final = m_parser->status() >= first_final_status;
+    if (is_final && is_expected())
         finish_exchange();
-    else if (++m_unexpected_replies > max_unexpected_replies)
-        return fail("the other side sends replies without end");
+    else
+    {
+        if (is_final)
+            report_dropped();
+        if (++m_unexpected_replies > max_unexpected_replies)
+            return fail("the other side sends replies without end");
+    }
     if (m_state != state::open)
         return;
     count_reply_bytes(0);
@@ -240,6 +246,15 @@
     return id.empty() || id == m_message->id;
 }
 
+void upstream_connection::report_dropped() const
+{
+    if (!m_options.on_dropped)
+        return;
+    const bool is_in_flight = m_on_result && m_message;
+    m_options.on_dropped({m_parser->status(), std::string(m_parser->find(m_options.id_field)),
+                          is_in_flight ? m_message->id : std::string()});
+}
+
 void upstream_connection::finish_exchange()
 {
     const auto on_result = std::exchange(m_on_result, nullptr);
@@ -252,6 +267,7 @@
     upstream_result result;
     result.progress = exchange_progress::answered;
     result.reply = &*m_parser;
+    result.has_id = !m_parser->find(m_options.id_field).empty();
     on_result(result);
 }
 
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -42,9 +42,22 @@
     exchange_progress progress = exchange_progress::nothing_sent;
     /// The complete reply to this request, valid during the call; null when none arrived.
     reply_parser* reply = nullptr;
+    /// Whether the reply names the request. One that does not is taken for the reply to the request
+    /// in flight.
+    bool has_id = false;
     std::string reason;
 };
 
+/// A complete final reply that answers no request in flight on its connection.
+struct dropped_reply
+{
+    unsigned status = 0;
+    /// The id in the reply; empty when it has none.
+    std::string id;
+    /// Id of the request in flight; empty when there was none.
+    std::string expected_id;
+};
+
 /// How an attempt to connect ended.
 enum class connect_outcome
 {
@@ -72,6 +85,8 @@
         std::chrono::milliseconds connect_timeout{500};
         /// Shared with other connections; null for none.
         std::shared_ptr<byte_budget> memory;
+        /// Called for each reply that is dropped; null for none.
+        std::function<void(const dropped_reply&)> on_dropped;
     };
 
     using result_handler = std::function<void(const upstream_result&)>;
@@ -128,6 +143,7 @@
     bool count_reply_bytes(std::size_t size);
     // Whether the parsed reply belongs to the request in flight.
     bool is_expected() const;
+    void report_dropped() const;
     void finish_exchange();
     // Closes the connection and reports the failure of the exchange in flight, if any.
     void fail(std::string reason);
