Tests: Play stray replies on one connection to an upstream

No test played replies that belong to no request on a connection without a gateway around it. Change: http_stray_reply_test drives both ends of a connection: copies cut at each byte by the next request, in one segment with the next reply, chunked, without a length, followed by bytes that are no reply, behind interim replies; early replies; dropped requests; requests that wait for the connection or are sent while a result is handled. No logic is changed.

--- /dev/null
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -0,0 +1,461 @@
+// Replies that answer no request in flight, on a connection that carries requests one after the
+// other.
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include "http/upstream_connection.hpp"
+
+namespace ospreystair::http
+{
+namespace
+{
+
+using namespace std::chrono_literals;
+
+constexpr auto step_timeout = 5s;
+
+/// A result as the owner of the connection sees it.
+struct delivered_result
+{
+    int sending = 0;
+    bool has_reply = false;
+    unsigned status = 0;
+    std::string body;
+    exchange_progress progress = exchange_progress::nothing_sent;
+};
+
+/// Body of the reply that the peer makes for one sending of a request.
+std::string body_of(int sending)
+{
+    return fmt::format("made for sending {}", sending);
+}
+
+std::string head_of(const std::string& id, int status = 200)
+{
+    const std::string field = id.empty() ? "" : "X-Request-Id: " + id + "\r\n";
+    return fmt::format("HTTP/1.1 {} Status\r\n{}", status, field);
+}
+
+std::string make_reply(const std::string& id, int sending, int status = 200)
+{
+    const std::string body = body_of(sending);
+    return head_of(id, status) + fmt::format("Content-Length: {}\r\n\r\n{}", body.size(), body);
+}
+
+std::string make_chunked_reply(const std::string& id, int sending)
+{
+    const std::string body = body_of(sending);
+    return head_of(id) + fmt::format("Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{}\r\n0\r\n\r\n",
+                                     body.size(), body);
+}
+
+std::string make_reply_without_length(const std::string& id, int sending)
+{
+    return head_of(id) + "\r\n" + body_of(sending);
+}
+
+/// Both ends of connections, all driven by the test's own thread: the connection under test through
+/// its context, the peer through blocking calls.
+class connection_harness
+{
+public:
+    connection_harness() : m_acceptor(m_peer_context, {asio::ip::make_address("127.0.0.1"), 0})
+    {
+        open();
+    }
+    ~connection_harness()
+    {
+        m_connection->close();
+        settle();
+    }
+    connection_harness(const connection_harness&) = delete;
+    connection_harness& operator=(const connection_harness&) = delete;
+
+    upstream_connection& connection() { return *m_connection; }
+    const std::vector<delivered_result>& results() const { return m_results; }
+    const std::vector<dropped_reply>& dropped() const { return m_dropped; }
+
+    /// Replaces the connection by a new one, which is open afterwards.
+    void open()
+    {
+        start_to_open();
+        run_until([this] { return m_connection->is_open(); });
+    }
+
+    void start_to_open()
+    {
+        if (m_connection)
+            m_connection->close();
+        upstream_connection::options options;
+        options.address = m_acceptor.local_endpoint();
+        options.id_field = "X-Request-Id";
+        options.on_dropped = [this](const dropped_reply& reply)
+        {
+            m_dropped.push_back(reply);
+        };
+        m_connection = upstream_connection::open(
+            m_context, options, [](connect_outcome) {}, [](const std::string&) {});
+        m_peer = m_acceptor.accept();
+        m_peer.set_option(tcp::no_delay(true));
+        m_received.clear();
+    }
+
+    /// Sends a request and returns the number of this sending.
+    int send(const std::string& id, const std::string& body = {},
+             std::function<void()> on_result = nullptr)
+    {
+        const int sending = ++m_last_sending;
+        upstream_request message;
+        message.shared_head = std::make_shared<const std::string>("POST / HTTP/1.1\r\n");
+        message.attempt_head = fmt::format("Content-Length: {}\r\n\r\n", body.size());
+        message.body = std::make_shared<const std::string>(body);
+        message.id = id;
+        m_connection->send(std::move(message),
+                           [this, sending, on_result](const upstream_result& result)
+                           {
+                               add_result(sending, result);
+                               if (on_result)
+                                   on_result();
+                           });
+        return sending;
+    }
+
+    /// Lets the peer read the head of a request. The body stays unread.
+    void read_request()
+    {
+        boost::system::error_code code;
+        const std::size_t size =
+            asio::read_until(m_peer, asio::dynamic_buffer(m_received), "\r\n\r\n", code);
+        ASSERT_FALSE(code) << code.message();
+        m_received.erase(0, size);
+    }
+
+    /// Lets the peer send bytes, and the connection read them.
+    void write(std::string_view text)
+    {
+        boost::system::error_code ignored;
+        asio::write(m_peer, asio::buffer(text), ignored);
+        settle();
+    }
+
+    void end_of_stream()
+    {
+        boost::system::error_code ignored;
+        m_peer.shutdown(tcp::socket::shutdown_send, ignored);
+        settle();
+    }
+
+    /// Sends a request and answers it.
+    void exchange(const std::string& id)
+    {
+        const int sending = send(id);
+        read_request();
+        write(make_reply(id, sending));
+        run_until([this, sending] { return has_result(sending); });
+    }
+
+    /// Handles what the connection has received; loopback delivers at once.
+    void settle()
+    {
+        m_context.restart();
+        while (m_context.poll() > 0)
+            m_context.restart();
+    }
+
+    void run_until(const std::function<bool()>& is_reached)
+    {
+        const auto end = std::chrono::steady_clock::now() + step_timeout;
+        while (!is_reached() && std::chrono::steady_clock::now() < end)
+        {
+            m_context.restart();
+            m_context.run_one_for(10ms);
+        }
+        ASSERT_TRUE(is_reached()) << "nothing happens on the connection";
+    }
+
+    bool has_result(int sending) const
+    {
+        return !m_results.empty() && m_results.back().sending >= sending;
+    }
+
+    /// Waits for the result of a sending and returns it.
+    delivered_result result_of(int sending)
+    {
+        run_until([this, sending] { return has_result(sending); });
+        for (const delivered_result& each : m_results)
+            if (each.sending == sending)
+                return each;
+        return {};
+    }
+
+    void expect_answered(int sending)
+    {
+        const delivered_result result = result_of(sending);
+        EXPECT_TRUE(result.has_reply);
+        EXPECT_EQ(result.body, body_of(sending));
+        EXPECT_EQ(result.progress, exchange_progress::answered);
+    }
+
+    /// Such a request counts as one that may have run.
+    void expect_ended_without_reply(int sending)
+    {
+        const delivered_result result = result_of(sending);
+        EXPECT_FALSE(result.has_reply) << "delivered: " << result.status << ", " << result.body;
+        EXPECT_EQ(result.progress, exchange_progress::sent);
+        EXPECT_FALSE(m_connection->is_free());
+    }
+
+private:
+    void add_result(int sending, const upstream_result& result)
+    {
+        delivered_result item;
+        item.sending = sending;
+        item.progress = result.progress;
+        item.has_reply = result.reply != nullptr;
+        if (result.reply)
+        {
+            item.status = result.reply->status();
+            item.body = result.reply->take_body();
+        }
+        m_results.push_back(item);
+    }
+
+    asio::io_context m_context;
+    asio::io_context m_peer_context;
+    tcp::acceptor m_acceptor;
+    tcp::socket m_peer{m_peer_context};
+    std::string m_received;
+    std::shared_ptr<upstream_connection> m_connection;
+    std::vector<delivered_result> m_results;
+    std::vector<dropped_reply> m_dropped;
+    int m_last_sending = 0;
+};
+
+class stray_reply_test : public testing::Test, public connection_harness
+{
+};
+
+// Guards against a reply without an id that is kept for the next request.
+TEST_F(stray_reply_test, reply_without_id_between_requests_is_dropped)
+{
+    exchange("a");
+    write(make_reply("", 77, 500));
+    const int second = send("b");
+    read_request();
+    write(make_reply("b", second));
+    expect_answered(second);
+    EXPECT_EQ(dropped().size(), 1U);
+}
+
+// Guards against a reply whose first half is read while nothing is in flight.
+TEST_F(stray_reply_test, copy_cut_by_next_request_is_dropped)
+{
+    const std::string copy = make_reply("a", 1);
+    for (std::size_t cut = 1; cut < copy.size(); ++cut)
+    {
+        open();
+        exchange("a");
+        write(copy.substr(0, cut));
+        const int second = send("b");
+        read_request();
+        write(copy.substr(cut));
+        write(make_reply("b", second));
+        expect_answered(second);
+    }
+}
+
+// Guards against a copy that hides the reply behind it in one segment.
+TEST_F(stray_reply_test, copy_and_next_reply_in_one_segment_are_told_apart)
+{
+    exchange("a");
+    const int second = send("b");
+    read_request();
+    write(make_reply("a", 1) + make_reply("b", second) + make_reply("b", second));
+    expect_answered(second);
+    EXPECT_EQ(results().size(), 2U);
+    EXPECT_TRUE(connection().is_free());
+}
+
+// Guards against bytes behind a copy that change how the next reply is read.
+TEST_F(stray_reply_test, bytes_that_are_no_reply_end_exchange_without_reply)
+{
+    const std::array<std::string, 5> kinds{"x", "xyz", "HTTP/1.1 ", "0\r\n\r\n",
+                                           std::string(2, '\0')};
+    for (const std::string& bytes : kinds)
+    {
+        SCOPED_TRACE(bytes);
+        open();
+        exchange("a");
+        const int second = send("b");
+        read_request();
+        write(make_reply("a", 1) + bytes + make_reply("b", second));
+        expect_ended_without_reply(second);
+    }
+}
+
+// Guards against the same while nothing is in flight: the next request meets the rest.
+TEST_F(stray_reply_test, bytes_that_are_no_reply_before_request_end_connection_or_exchange)
+{
+    exchange("a");
+    write(make_reply("a", 1) + "xyz");
+    if (!connection().is_free())
+        return;
+    const int second = send("b");
+    read_request();
+    write(make_reply("b", second));
+    expect_ended_without_reply(second);
+}
+
+// Guards against a copy with other framing than its original.
+TEST_F(stray_reply_test, chunked_copy_is_dropped)
+{
+    exchange("a");
+    const int second = send("b");
+    read_request();
+    write(make_chunked_reply("a", 1) + make_chunked_reply("b", second));
+    expect_answered(second);
+}
+
+// Guards against a copy that is cut between two chunks by the next request.
+TEST_F(stray_reply_test, chunked_copy_cut_by_next_request_is_dropped)
+{
+    const std::string copy = make_chunked_reply("a", 1);
+    for (std::size_t cut = 1; cut < copy.size(); ++cut)
+    {
+        open();
+        exchange("a");
+        write(copy.substr(0, cut));
+        const int second = send("b");
+        read_request();
+        write(copy.substr(cut) + make_chunked_reply("b", second));
+        expect_answered(second);
+    }
+}
+
+// Guards against a copy whose body takes in the reply behind it and is delivered with it.
+TEST_F(stray_reply_test, copy_without_length_ends_exchange_without_reply)
+{
+    exchange("a");
+    const int second = send("b");
+    read_request();
+    write(make_reply_without_length("a", 1) + make_reply("b", second));
+    end_of_stream();
+    expect_ended_without_reply(second);
+}
+
+// Guards against an interim reply that is taken for the final one, or that makes the next reply
+// count for the request.
+TEST_F(stray_reply_test, interim_replies_before_copy_and_reply_are_dropped)
+{
+    const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string interim_with_id = "HTTP/1.1 103 Early Hints\r\nX-Request-Id: b\r\n\r\n";
+    exchange("a");
+    const int second = send("b");
+    read_request();
+    write(interim + make_reply("a", 1) + interim_with_id + make_reply("b", second));
+    expect_answered(second);
+}
+
+// Guards against a connection that is used again though its request is half sent.
+TEST_F(stray_reply_test, early_reply_with_own_id_is_delivered_and_closes_connection)
+{
+    const int sending = send("a", std::string(32U << 20U, 'x'));
+    read_request();
+    write(make_reply("a", sending, 413));
+    expect_answered(sending);
+    EXPECT_FALSE(connection().is_free());
+}
+
+// Guards against a copy that ends a request before that is sent whole.
+TEST_F(stray_reply_test, early_reply_with_foreign_id_is_dropped)
+{
+    exchange("a");
+    const int second = send("b", std::string(32U << 20U, 'x'));
+    read_request();
+    write(make_reply("a", 1));
+    EXPECT_FALSE(has_result(second));
+    write(make_reply("b", second));
+    expect_answered(second);
+    EXPECT_FALSE(connection().is_free());
+}
+
+// Guards against a half-read reply that reaches a later request, or the caller that has left.
+TEST_F(stray_reply_test, reply_of_dropped_request_reaches_nobody)
+{
+    const int first = send("a");
+    read_request();
+    const std::string reply = make_reply("a", first);
+    write(reply.substr(0, reply.size() / 2));
+    connection().close();
+    EXPECT_FALSE(connection().is_free());
+    write(reply.substr(reply.size() / 2));
+    EXPECT_TRUE(results().empty());
+    open();
+    const int second = send("a");
+    read_request();
+    write(make_reply("a", second));
+    expect_answered(second);
+    EXPECT_EQ(results().size(), 1U);
+}
+
+// Guards against a request that waits for its connection and gets the result of another.
+TEST_F(stray_reply_test, request_on_connecting_connection_gets_own_reply)
+{
+    start_to_open();
+    const int first = send("a");
+    EXPECT_FALSE(connection().is_open());
+    run_until([this] { return connection().is_open(); });
+    read_request();
+    write(make_reply("z", 77) + make_reply("a", first));
+    expect_answered(first);
+}
+
+// Guards against a second connection that is made while the result of the first is handled and that
+// takes over its reply.
+TEST_F(stray_reply_test, request_sent_on_new_connection_from_result_handler_gets_own_reply)
+{
+    int second = 0;
+    const int first = send("a", {},
+                           [&]
+                           {
+                               start_to_open();
+                               second = send("a");
+                           });
+    read_request();
+    write(make_reply("a", first) + make_reply("a", first));
+    expect_answered(first);
+    run_until([this] { return connection().is_open(); });
+    read_request();
+    write(make_reply("a", second));
+    expect_answered(second);
+    EXPECT_EQ(results().size(), 2U);
+}
+
+// Guards against a copy behind the reply that ends the request that the result handler sends.
+TEST_F(stray_reply_test, request_sent_from_result_handler_is_not_ended_by_copy)
+{
+    int second = 0;
+    const int first = send("a", {}, [&] { second = send("b"); });
+    read_request();
+    write(make_reply("a", first) + make_reply("a", first));
+    expect_answered(first);
+    EXPECT_FALSE(has_result(second));
+    read_request();
+    write(make_reply("b", second));
+    expect_answered(second);
+}
+
+} // namespace
+} // namespace ospreystair::http
