--- a/tests/unit/http_stray_reply_test.cpp
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 #include "http/upstream_connection.hpp"
 
@@ -247,6 +248,29 @@
 {
 };
 
+class late_copy_test : public testing::TestWithParam<int>, public connection_harness
+{
+};
+
+// Guards against a late copy of the first answer that ends the second sending of a request, after
+// so many others that the connection no longer knows the id.
+TEST_P(late_copy_test, copy_after_other_requests_does_not_end_second_sending)
+{
+    exchange("first");
+    for (int index = 0; index < GetParam(); ++index)
+        exchange(fmt::format("other-{}", index));
+    if (!connection().is_free() || connection().has_carried("first"))
+        return;
+    const int second = send("first");
+    read_request();
+    write(make_reply("first", 1));
+    write(make_reply("first", second));
+    expect_answered(second);
+    ADD_FAILURE() << "the connection carries the id a second time";
+}
+
+INSTANTIATE_TEST_SUITE_P(counts, late_copy_test, testing::Values(0, 1, 15, 16, 17, 40, 300));
+
 // Guards against a reply without an id that is kept for the next request.
 TEST_F(stray_reply_test, reply_without_id_between_requests_is_dropped)
 {
@@ -457,5 +481,85 @@
     expect_answered(second);
 }
 
+// Guards against a connection that carries requests without end, and with them the memory of their
+// ids.
+TEST_F(stray_reply_test, connection_that_knows_most_ids_takes_no_further_one)
+{
+    for (std::size_t index = 0; index < sent_ids::max_capacity; ++index)
+    {
+        ASSERT_FALSE(connection().has_carried("next"));
+        exchange(fmt::format("other-{}", index));
+    }
+    EXPECT_TRUE(connection().has_carried("next"));
+    EXPECT_TRUE(connection().is_exhausted());
+    EXPECT_FALSE(connection().has_carried(""));
+}
+
+// Guards against any order of requests, replies and strays in which a result holds the reply to
+// another sending.
+RC_GTEST_PROP(stray_reply_property_test, delivered_reply_is_made_for_its_sending, ())
+{
+    connection_harness harness;
+    // Replies that the peer has made on the current connection, by the request's id.
+    std::vector<std::pair<std::string, std::string>> made;
+    std::string unsent;
+    const auto write_in_parts = [&harness, &unsent](std::size_t kept)
+    {
+        while (unsent.size() > kept)
+        {
+            const auto size = *rc::gen::inRange<std::size_t>(1, unsent.size() - kept + 1);
+            harness.write(std::string_view(unsent).substr(0, size));
+            unsent.erase(0, size);
+        }
+    };
+    const auto add_strays = [&unsent, &made](const std::string& id)
+    {
+        for (int count = *rc::gen::inRange(0, 4); count > 0; --count)
+        {
+            const int kind = *rc::gen::inRange(0, 4);
+            if (kind == 0)
+                unsent += "HTTP/1.1 102 Processing\r\n\r\n";
+            else if (kind == 1)
+                unsent += make_reply("foreign", 0, 500);
+            else if (kind == 2 && !made.empty())
+                unsent += made[*rc::gen::inRange<std::size_t>(0, made.size())].second;
+            else
+                for (const auto& [made_for, reply] : made)
+                    unsent += made_for == id ? reply : "";
+        }
+    };
+    const int sendings = *rc::gen::inRange(1, 150);
+    for (int index = 0; index < sendings; ++index)
+    {
+        // Some requests are earlier ones once more.
+        const bool is_repeated = index > 0 && *rc::gen::inRange(0, 12) == 0;
+        const std::string id =
+            fmt::format("id-{}", is_repeated ? *rc::gen::inRange(0, index) : index);
+        if (!harness.connection().is_free() || harness.connection().has_carried(id))
+        {
+            harness.open();
+            made.clear();
+            unsent.clear();
+        }
+        const int sending = harness.send(id);
+        harness.read_request();
+        add_strays(id);
+        const bool is_chunked = *rc::gen::arbitrary<bool>();
+        made.emplace_back(id, is_chunked
+                                  ? make_chunked_reply(id, sending)
+                                  : make_reply(id, sending, *rc::gen::element(200, 404, 500)));
+        unsent += made.back().second;
+        write_in_parts(0);
+        const delivered_result result = harness.result_of(sending);
+        RC_ASSERT(result.has_reply);
+        RC_ASSERT(result.body == body_of(sending));
+        // Some strays come while nothing is in flight, the last one cut at any byte.
+        add_strays(id);
+        if (!unsent.empty())
+            write_in_parts(*rc::gen::inRange<std::size_t>(0, unsent.size()));
+    }
+    RC_ASSERT(harness.results().size() == static_cast<std::size_t>(sendings));
+}
+
 } // namespace
 } // namespace ospreystair::http
