Http: Take no reply without an id where replies have ids

Callers could get the answer to another request. Cause: is_expected took a missing id for a match, which the questions between VMs need: they have no ids. On a connection whose replies never had an id they are matched in their order as before; the users' pages say that replicas echo the id, but their example of a part shows a reply without one, and refusing all of them would end service there. A request without an id still takes a reply without one. Connections between VMs do not set the option. Effect on the log: reply_dropped with an empty id in place of reply_without_id.

--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -219,12 +219,16 @@
     const bool closes_connection = !m_parser->keep_alive();
     // An interim (1xx) reply is followed by the final one.
     const bool is_final = m_parser->status() >= first_final_status;
+    const bool has_id = !m_parser->find(m_options.id_field).empty();
+    m_has_seen_id = m_has_seen_id || (is_final && has_id);
     if (is_final && is_expected())
-        finish_exchange();
+        finish_exchange(has_id);
     else
     {
         if (is_final)
             report_dropped();
+        if (is_final && is_ambiguous())
+            return fail("a reply has no id, unlike others on this connection");
         if (++m_unexpected_replies > max_unexpected_replies)
             return fail("the other side sends replies without end");
     }
@@ -244,7 +248,13 @@
     if (!m_on_result || m_progress != exchange_progress::sent)
         return false;
     const std::string_view id = m_parser->find(m_options.id_field);
-    return id.empty() || id == m_message->id;
+    return id == m_message->id || (id.empty() && !is_ambiguous());
+}
+
+bool upstream_connection::is_ambiguous() const
+{
+    return m_on_result && !m_message->id.empty() && m_options.is_id_consistent && m_has_seen_id &&
+           m_parser->find(m_options.id_field).empty();
 }
 
 void upstream_connection::report_dropped() const
@@ -256,7 +266,7 @@
                           is_in_flight ? m_message->id : std::string()});
 }
 
-void upstream_connection::finish_exchange()
+void upstream_connection::finish_exchange(bool has_id)
 {
     const auto on_result = std::exchange(m_on_result, nullptr);
     m_message.reset();
@@ -268,7 +278,7 @@
     upstream_result result;
     result.progress = exchange_progress::answered;
     result.reply = &*m_parser;
-    result.has_id = !m_parser->find(m_options.id_field).empty();
+    result.has_id = has_id;
     on_result(result);
 }
 
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -43,7 +43,7 @@
     /// The complete reply to this request, valid during the call; null when none arrived.
     reply_parser* reply = nullptr;
     /// Whether the reply names the request. One that does not is taken for the reply to the request
-    /// in flight.
+    /// in flight, unless others on the connection had an id.
     bool has_id = false;
     std::string reason;
 };
@@ -81,6 +81,10 @@
         tcp::endpoint address;
         /// Header field that a reply echoes from its request.
         std::string id_field;
+        /// Set where the other side echoes ids in all its replies or in none. Once it has echoed
+        /// one on this connection, a reply without an id cannot be told from a stray one and ends
+        /// the exchange in flight without a reply.
+        bool is_id_consistent = false;
         std::uint64_t max_reply_bytes = 4U << 20U;
         std::chrono::milliseconds connect_timeout{500};
         /// Requests with an id after which the connection is exhausted.
@@ -147,8 +151,11 @@
     bool count_reply_bytes(std::size_t size);
     // Whether the parsed reply belongs to the request in flight.
     bool is_expected() const;
+    // Whether the parsed reply lacks the id that would tell whether it belongs to the request in
+    // flight.
+    bool is_ambiguous() const;
     void report_dropped() const;
-    void finish_exchange();
+    void finish_exchange(bool has_id);
     // Closes the connection and reports the failure of the exchange in flight, if any.
     void fail(std::string reason);
     void shut_down(const std::string& reason);
@@ -173,6 +180,8 @@
     result_handler m_on_result;
     std::shared_ptr<upstream_request> m_message;
     sent_ids m_sent_ids;
+    // Whether some final reply on the connection had an id.
+    bool m_has_seen_id = false;
     exchange_progress m_progress = exchange_progress::nothing_sent;
     bool m_is_write_done = true;
 };
--- a/tests/unit/http_stray_reply_test.cpp
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -89,19 +89,20 @@
     const std::vector<dropped_reply>& dropped() const { return m_dropped; }
 
     /// Replaces the connection by a new one, which is open afterwards.
-    void open()
+    void open(bool is_id_consistent = true)
     {
-        start_to_open();
+        start_to_open(is_id_consistent);
         run_until([this] { return m_connection->is_open(); });
     }
 
-    void start_to_open()
+    void start_to_open(bool is_id_consistent = true)
     {
         if (m_connection)
             m_connection->close();
         upstream_connection::options options;
         options.address = m_acceptor.local_endpoint();
         options.id_field = "X-Request-Id";
+        options.is_id_consistent = is_id_consistent;
         options.on_dropped = [this](const dropped_reply& reply)
         {
             m_dropped.push_back(reply);
@@ -271,6 +272,64 @@
 
 INSTANTIATE_TEST_SUITE_P(counts, late_copy_test, testing::Values(0, 1, 15, 16, 17, 40, 300));
 
+// Guards against an answer of an unknown request that is delivered for the one in flight.
+TEST_F(stray_reply_test, reply_without_id_ends_exchange_without_reply)
+{
+    exchange("first");
+    const int sending = send("a");
+    read_request();
+    write(make_reply("", 77, 500) + make_reply("a", sending));
+    expect_ended_without_reply(sending);
+}
+
+// Guards against a reply without an id that began before the request was sent.
+TEST_F(stray_reply_test, reply_without_id_cut_by_request_ends_exchange_without_reply)
+{
+    exchange("a");
+    const std::string stray = make_reply("", 77);
+    write(stray.substr(0, stray.size() / 2));
+    const int second = send("b");
+    read_request();
+    write(stray.substr(stray.size() / 2) + make_reply("b", second));
+    expect_ended_without_reply(second);
+}
+
+// Guards against a question between VMs that gets no answer: neither side names an id.
+TEST_F(stray_reply_test, reply_without_id_is_delivered_where_ids_are_not_consistent)
+{
+    open(false);
+    for (const std::string id : {"", "a"})
+    {
+        const int sending = send(id);
+        read_request();
+        write(make_reply("", sending));
+        expect_answered(sending);
+        EXPECT_TRUE(connection().is_free());
+    }
+}
+
+// Guards against requests that a replica answers in vain, since it echoes no ids at all.
+TEST_F(stray_reply_test, replies_of_a_peer_that_never_echoes_ids_are_delivered)
+{
+    for (const std::string id : {"a", "b", "c"})
+    {
+        const int sending = send(id);
+        read_request();
+        write(make_reply("", sending));
+        expect_answered(sending);
+    }
+}
+
+// Guards against a request without an id that is never answered.
+TEST_F(stray_reply_test, reply_without_id_is_delivered_for_request_without_id)
+{
+    exchange("first");
+    const int sending = send("");
+    read_request();
+    write(make_reply("", sending));
+    expect_answered(sending);
+}
+
 // Guards against a reply without an id that is kept for the next request.
 TEST_F(stray_reply_test, reply_without_id_between_requests_is_dropped)
 {
