Http: Keep connections that know many ids

Where a replica refuses new connections while open ones work (half of a cut), a connection that ends cannot be replaced. Change: no connection ends for its ids. The last 512 are known, 2 KiB at most and less where a connection carries few. An id is forgotten after 512 others on its connection, which take longer than callers wait for an answer where each takes 10 ms. Weighed: forgetting by time (a caller's repetition has no bound), and replacing a connection only once another one is open (more states at the replica's connection limit, for copies that come more than 512 requests late while their request is sent again).

--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -40,8 +40,7 @@
                                          open_handler on_open,
                                          std::function<void(const std::string&)> on_close)
     : m_options(std::move(values)), m_context(context), m_socket(context.get_executor()),
-      m_on_open(std::move(on_open)), m_on_close(std::move(on_close)),
-      m_sent_ids(m_options.max_requests)
+      m_on_open(std::move(on_open)), m_on_close(std::move(on_close))
 {
 }
 
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -87,8 +87,6 @@
         bool is_id_consistent = false;
         std::uint64_t max_reply_bytes = 4U << 20U;
         std::chrono::milliseconds connect_timeout{500};
-        /// Requests with an id after which the connection is exhausted.
-        std::size_t max_requests = sent_ids::max_capacity;
         /// Shared with other connections; null for none.
         std::shared_ptr<byte_budget> memory;
         /// Called for each reply that is dropped; null for none.
@@ -115,10 +113,8 @@
     bool is_open() const { return m_state == state::open; }
     bool is_free() const { return m_state != state::closed && !m_on_result; }
     /// Whether a request with this id was sent before, so that a late copy of its reply would be
-    /// taken for the reply to the next sending. True for each id when the connection is exhausted.
+    /// taken for the reply to the next sending.
     bool has_carried(std::string_view id) const { return m_sent_ids.contains(id); }
-    /// Whether the connection knows as many ids as it may, and is to be replaced.
-    bool is_exhausted() const { return m_sent_ids.is_full(); }
 
 private:
     // A socket with a concrete executor: copying the polymorphic executor took 3% of the processor
