Soak: Trace each success to the sending that it answers

The replica stand-in refuses, fails and answers twice at random, and lists its answers. A fault of the schedule lets all replicas do so. Six more callers send ids again that were refused, lost or given up. The new check traces each receipt of a success to a sending that arrived after this attempt began, with its id, status and body.

--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -9,6 +9,8 @@
 #include <boost/asio/write.hpp>
 #include <fmt/format.h>
 
+#include "base/hash.hpp"
+
 namespace ospreystair::standins
 {
 
@@ -42,10 +44,16 @@
     boost::beast::flat_buffer buffer;
     // The last answer, to be sent once more.
     std::string last_answer;
+    // Counts the answers kept in `last_answer`.
+    std::uint64_t copy_number = 0;
+    // The request in progress: its number among all arrivals at the replica, and its time.
+    std::uint64_t arrival = 0;
+    std::chrono::steady_clock::time_point arrived_at;
 };
 
 replica_standin::replica_standin(http::asio::io_context& context, std::string id)
-    : m_context(context), m_acceptor(context), m_id(std::move(id))
+    : m_context(context), m_acceptor(context), m_id(std::move(id)),
+      m_random(base::stable_hash(m_id))
 {
 }
 
@@ -183,6 +191,18 @@
     return found == m_statuses.end() ? std::vector<unsigned>{} : found->second;
 }
 
+std::vector<replica_answer> replica_standin::answers() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_answers;
+}
+
+std::uint64_t replica_standin::second_copies() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_second_copies;
+}
+
 std::uint64_t replica_standin::arrivals() const
 {
     const std::scoped_lock lock(m_mutex);
@@ -263,11 +283,30 @@
     return m_work_ends;
 }
 
-replica_behaviour replica_standin::record_arrival(const session& client_session,
+void replica_standin::choose_faults(replica_behaviour& behaviour)
+{
+    constexpr std::uint64_t percent = 100;
+    constexpr unsigned internal_error = 500;
+    const stutter_settings& stutter = behaviour.stutter;
+    const std::uint64_t choice = m_random.below(percent);
+    if (choice < stutter.refused_percent)
+        behaviour.refuses = true;
+    else if (choice < stutter.refused_percent + stutter.failed_percent)
+        behaviour.status = internal_error;
+    behaviour.latency += milliseconds{static_cast<std::int64_t>(
+        m_random.below(static_cast<std::uint64_t>(stutter.max_further_latency.count())))};
+    const bool is_success = !behaviour.refuses && behaviour.status < first_redirect_status;
+    if ((is_success || stutter.repeats_failures) &&
+        m_random.below(percent) < stutter.repeated_percent)
+        behaviour.repeats_answers_late = true;
+}
+
+replica_behaviour replica_standin::record_arrival(session& client_session,
                                                   const http::request& message)
 {
     const std::scoped_lock lock(m_mutex);
-    ++m_arrivals;
+    client_session.arrival = ++m_arrivals;
+    client_session.arrived_at = std::chrono::steady_clock::now();
     const auto text = message["Deadline-Ms"];
     std::int64_t deadline = 0;
     std::from_chars(text.data(), text.data() + text.size(), deadline);
@@ -280,6 +319,7 @@
         behaviour.refuses = behaviour.status == refusal_status;
         m_behaviour.next_statuses.pop_front();
     }
+    choose_faults(behaviour);
     const auto expected = message["Target-Instance"];
     if (!expected.empty() && expected != m_id)
     {
@@ -291,14 +331,14 @@
     std::string fields;
     for (const auto& item : message)
         fields += std::string(item.name_string()) + ": " + std::string(item.value()) + "\n";
-    m_request_arrivals.push_back({std::chrono::steady_clock::now(),
-                                  std::string(message["Request-Id"]), client_session.sender,
-                                  behaviour.refuses && !behaviour.retry_after.empty(),
-                                  std::move(fields)});
+    m_request_arrivals.push_back(
+        {client_session.arrived_at, std::string(message["Request-Id"]), client_session.sender,
+         behaviour.refuses && !behaviour.retry_after.empty(), std::move(fields)});
     return behaviour;
 }
 
-std::string replica_standin::make_reply_text(const http::request& message,
+std::string replica_standin::make_reply_text(const session& client_session,
+                                             const http::request& message,
                                              const replica_behaviour& behaviour)
 {
     const std::scoped_lock lock(m_mutex);
@@ -313,14 +353,20 @@
         text += "Server-Leaving: 1\r\n";
     if (!behaviour.request_limit.empty())
         text += fmt::format("Server-Limit: {}\r\n", behaviour.request_limit);
+    std::string receipt;
     if (behaviour.refuses || status == misdirected)
         text += "Not-Executed: 1\r\n";
     else
-        text += fmt::format("Response-Stamp: {}.{}.{}\r\n", m_id, ++m_receipts,
-                            std::string(message["Request-Id"]));
+        receipt = fmt::format("{}.{}.{}", m_id, ++m_receipts, std::string(message["Request-Id"]));
+    if (!receipt.empty())
+        text += fmt::format("Response-Stamp: {}\r\n", receipt);
     if (behaviour.closes || behaviour.is_unframed)
         text += "Connection: close\r\n";
-    const std::string& body = status < first_redirect_status ? behaviour.body : "failure";
+    std::string body = status < first_redirect_status ? behaviour.body : "failure";
+    if (behaviour.numbers_bodies && status < first_redirect_status)
+        body = fmt::format("{:0{}}{}", m_receipts, body.size() - 1, body.back());
+    m_answers.push_back({m_id, receipt, std::string(message["Request-Id"]), client_session.arrival,
+                         client_session.arrived_at, client_session.sender, status, body});
     if (!behaviour.is_unframed)
         text += fmt::format("Content-Length: {}\r\n", body.size());
     return text + "\r\n" + body;
@@ -398,12 +444,17 @@
         co_await send_endless_reply(client_session, behaviour.has_endless_body);
         co_return false;
     }
-    std::string text = make_reply_text(message, behaviour);
+    std::string text = make_reply_text(*client_session, message, behaviour);
     const std::string late = std::exchange(client_session->last_answer, {});
     if (behaviour.repeats_answers_late)
-        client_session->last_answer = text;
-    if (!late.empty() && !co_await send(client_session, late))
-        co_return false;
+        schedule_copy(client_session, text, behaviour);
+    if (!late.empty())
+    {
+        if (!co_await send(client_session, late))
+            co_return false;
+        const std::scoped_lock lock(m_mutex);
+        ++m_second_copies;
+    }
     if (behaviour.truncates)
         text.resize(text.size() - behaviour.body.size() / 2);
     if (behaviour.appends_garbage)
@@ -415,11 +466,51 @@
     {
         http::asio::steady_timer timer(m_context, second_answer_delay);
         co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, code));
-        co_return co_await send(client_session, make_reply_text(message, behaviour));
+        co_return co_await send(client_session,
+                                make_reply_text(*client_session, message, behaviour));
     }
     co_return true;
 }
 
+void replica_standin::schedule_copy(const std::shared_ptr<session>& client_session,
+                                    const std::string& text, const replica_behaviour& behaviour)
+{
+    client_session->last_answer = text;
+    ++client_session->copy_number;
+    const auto max_delay = static_cast<std::uint64_t>(behaviour.stutter.max_copy_delay.count());
+    if (max_delay == 0)
+        return;
+    milliseconds delay{0};
+    {
+        const std::scoped_lock lock(m_mutex);
+        delay = milliseconds{1 + static_cast<std::int64_t>(m_random.below(max_delay))};
+    }
+    http::asio::co_spawn(
+        m_context,
+        [self = shared_from_this(), client_session, delay]
+        { return self->send_copy(client_session, delay); },
+        http::asio::detached);
+}
+
+http::awaitable<void> replica_standin::send_copy(std::shared_ptr<session> client_session,
+                                                 milliseconds delay)
+{
+    const auto self = shared_from_this();
+    const std::uint64_t number = client_session->copy_number;
+    boost::system::error_code ignored;
+    http::asio::steady_timer timer(m_context, delay);
+    co_await timer.async_wait(http::asio::redirect_error(http::asio::use_awaitable, ignored));
+    if (client_session->copy_number != number)
+        co_return;
+    // In one piece, so that it does not mix with an answer that is being sent.
+    const std::string text = std::exchange(client_session->last_answer, {});
+    if (text.empty() || !client_session->socket.is_open())
+        co_return;
+    client_session->socket.write_some(boost::asio::buffer(text), ignored);
+    const std::scoped_lock lock(m_mutex);
+    ++m_second_copies;
+}
+
 http::awaitable<void> replica_standin::send_endless_reply(std::shared_ptr<session> client_session,
                                                           bool has_endless_body)
 {
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -16,11 +16,28 @@
 #include <vector>
 
 #include "base/error.hpp"
+#include "base/random.hpp"
 #include "http/asio.hpp"
 
 namespace ospreystair::standins
 {
 
+/// Faults that a replica has at random, each in a share of its requests.
+struct stutter_settings
+{
+    /// Requests that are refused, and requests that fail after they were run.
+    unsigned refused_percent = 0;
+    unsigned failed_percent = 0;
+    /// Answers that are sent a second time: in front of the answer to the next request on their
+    /// connection, or after up to `max_copy_delay` when there is none before.
+    unsigned repeated_percent = 0;
+    std::chrono::milliseconds max_copy_delay{0};
+    /// Whether refusals and failures are sent a second time too.
+    bool repeats_failures = false;
+    /// Added to the latency of a request, at random.
+    std::chrono::milliseconds max_further_latency{0};
+};
+
 /// How a replica handles each request.
 struct replica_behaviour
 {
@@ -64,6 +81,9 @@
     /// Time from a crash until the replica listens again.
     std::chrono::milliseconds restart_delay{1000};
     std::string body = "0123456789abcdef";
+    /// Writes the number of the receipt into the body, so that no two bodies are equal.
+    bool numbers_bodies = false;
+    stutter_settings stutter = {};
 };
 
 /// One request that arrived at a replica.
@@ -79,6 +99,22 @@
     std::string fields = {};
 };
 
+/// An answer as a replica made it, whether it was sent whole or not.
+struct replica_answer
+{
+    std::string replica;
+    /// Empty when the request was not run.
+    std::string receipt;
+    std::string request_id;
+    /// Number of the request among all that arrived at the replica, from 1.
+    std::uint64_t arrival = 0;
+    std::chrono::steady_clock::time_point arrived_at;
+    /// Address that the request came from.
+    std::string sender;
+    unsigned status = 0;
+    std::string body;
+};
+
 /// A crash under a request.
 struct request_crash
 {
@@ -119,6 +155,10 @@
     std::map<std::string, unsigned> executions() const;
     /// Statuses of the replica's answers to a request, in their order, without second copies.
     std::vector<unsigned> statuses_of(const std::string& request_id) const;
+    /// All answers in their order, without second copies.
+    std::vector<replica_answer> answers() const;
+    /// Second copies of answers that were sent late.
+    std::uint64_t second_copies() const;
     /// Requests that arrived, run or not.
     std::uint64_t arrivals() const;
     /// Requests whose connection was closed before they were answered.
@@ -146,11 +186,19 @@
     http::awaitable<bool> send(std::shared_ptr<session> client_session, std::string text);
     http::awaitable<void> send_endless_reply(std::shared_ptr<session> client_session,
                                              bool has_endless_body);
-    replica_behaviour record_arrival(const session& client_session, const http::request& message);
+    replica_behaviour record_arrival(session& client_session, const http::request& message);
+    // Changes the behaviour for one request. The caller has locked m_mutex.
+    void choose_faults(replica_behaviour& behaviour);
+    // Keeps the answer, to be sent once more.
+    void schedule_copy(const std::shared_ptr<session>& client_session, const std::string& text,
+                       const replica_behaviour& behaviour);
+    http::awaitable<void> send_copy(std::shared_ptr<session> client_session,
+                                    std::chrono::milliseconds delay);
     void record_work_end(const http::request& message);
     http::awaitable<bool> handle_request(std::shared_ptr<session> client_session,
                                          const http::request& message);
-    std::string make_reply_text(const http::request& message, const replica_behaviour& behaviour);
+    std::string make_reply_text(const session& client_session, const http::request& message,
+                                const replica_behaviour& behaviour);
 
     http::asio::io_context& m_context;
     http::tcp::acceptor m_acceptor;
@@ -161,6 +209,9 @@
     replica_behaviour m_behaviour;
     std::map<std::string, unsigned> m_executions;
     std::map<std::string, std::vector<unsigned>> m_statuses;
+    std::vector<replica_answer> m_answers;
+    std::uint64_t m_second_copies = 0;
+    base::seeded_random m_random;
     std::set<std::shared_ptr<session>> m_sessions;
     std::uint64_t m_arrivals = 0;
     std::uint64_t m_abandoned = 0;
--- a/tests/chaos/chaos_system.cpp
+++ b/tests/chaos/chaos_system.cpp
@@ -163,6 +163,7 @@
     case fault_kind::signal_series:
     case fault_kind::deadly_requests:
     case fault_kind::crash_replicas:
+    case fault_kind::stuttering_replicas:
         return;
     }
 }
@@ -203,6 +204,7 @@
     case fault_kind::signal_series:
     case fault_kind::deadly_requests:
     case fault_kind::crash_replicas:
+    case fault_kind::stuttering_replicas:
         return;
     }
 }
--- a/tests/chaos/fault_schedule.cpp
+++ b/tests/chaos/fault_schedule.cpp
@@ -17,11 +17,13 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, 20> kind_names{
-    "kill_entry",    "kill_agent",      "freeze_entry",   "freeze_agent",       "cut_route",
-    "delay_route",   "platform_outage", "slow_platform",  "lose_write_answers", "publish_index",
-    "repartition",   "upstream_fault",  "drain_upstream", "race_operators",     "lose_replicas",
-    "limit_replica", "endless_replies", "signal_series",  "deadly_requests",    "crash_replicas"};
+constexpr std::array<std::string_view, 21> kind_names{
+    "kill_entry",         "kill_agent",     "freeze_entry",    "freeze_agent",
+    "cut_route",          "delay_route",    "platform_outage", "slow_platform",
+    "lose_write_answers", "publish_index",  "repartition",     "upstream_fault",
+    "drain_upstream",     "race_operators", "lose_replicas",   "limit_replica",
+    "endless_replies",    "signal_series",  "deadly_requests", "crash_replicas",
+    "stuttering_replicas"};
 // The kinds before drain_upstream and race_operators, which are scheduled separately.
 constexpr std::size_t random_kind_count = 12;
 constexpr milliseconds min_gap{150};
@@ -194,9 +196,10 @@
     constexpr milliseconds max_long_length{9'500};
     constexpr milliseconds max_pause{5'000};
     // New kinds come last: the faults of the others stay the same.
-    constexpr std::array kinds{fault_kind::lose_replicas,   fault_kind::limit_replica,
-                               fault_kind::endless_replies, fault_kind::signal_series,
-                               fault_kind::deadly_requests, fault_kind::crash_replicas};
+    constexpr std::array kinds{fault_kind::lose_replicas,      fault_kind::limit_replica,
+                               fault_kind::endless_replies,    fault_kind::signal_series,
+                               fault_kind::deadly_requests,    fault_kind::crash_replicas,
+                               fault_kind::stuttering_replicas};
     // A stream of its own, so that make_schedule gives the same faults with and without this one.
     base::seeded_random random(base::mix_bits(seed));
     const auto random_between = [&random](milliseconds low, milliseconds high)
--- a/tests/chaos/fault_schedule.hpp
+++ b/tests/chaos/fault_schedule.hpp
@@ -34,7 +34,9 @@
     endless_replies,
     signal_series,   ///< Several signals to one VM, some of which meet its stop or its start.
     deadly_requests, ///< Callers send requests that crash each replica which runs them.
-    crash_replicas   ///< Several replicas crash at once, whatever they run.
+    crash_replicas,  ///< Several replicas crash at once, whatever they run.
+    /// All replicas refuse, fail and answer twice, each at random.
+    stuttering_replicas
 };
 
 /// One fault; it is cleared at its end.
--- a/tests/chaos/gateway_audit.cpp
+++ b/tests/chaos/gateway_audit.cpp
@@ -25,6 +25,7 @@
     std::string service;
     std::string replica;
     std::string request;
+    std::string count;
 };
 
 std::optional<receipt> parse_receipt(const std::string& text)
@@ -34,13 +35,49 @@
     const std::size_t dash = text.rfind('-', first);
     if (first == std::string::npos || second == std::string::npos || dash == std::string::npos)
         return std::nullopt;
-    return receipt{text.substr(0, dash), text.substr(0, first), text.substr(second + 1)};
+    return receipt{text.substr(0, dash), text.substr(0, first), text.substr(second + 1),
+                   text.substr(first + 1, second - first - 1)};
 }
 
-// Returns the record that the fleet configures for a replica.
+// Returns the record that the replica sends with a receipt.
 std::string record_of(const receipt& from)
 {
-    return "0123456789abcde" + from.replica.substr(from.replica.size() - 1);
+    return fmt::format("{:0>15}{}", from.count, from.replica.back());
+}
+
+constexpr const char* own_sending = "each success is the answer to a sending of its own attempt";
+
+// The answers of one replica to one request, with times from the beginning of an exchange.
+std::string describe(const std::vector<const standins::replica_answer*>& answers,
+                     const caller_exchange& exchange)
+{
+    std::string result = fmt::format(
+        "{} ms long, the replica's answers:",
+        std::chrono::duration<double, std::milli>(exchange.ended_at - exchange.sent_at).count());
+    for (const standins::replica_answer* each : answers)
+        result += fmt::format(
+            " [arrival {} at {:.1f} ms from {}: {} {}]", each->arrival,
+            std::chrono::duration<double, std::milli>(each->arrived_at - exchange.sent_at).count(),
+            each->sender, each->status, each->receipt);
+    return result;
+}
+
+// Whether a sending that arrived or was answered after `source` has another status than success.
+// Sendings of a later attempt of the caller do not count.
+bool has_later_failure(const std::vector<const standins::replica_answer*>& answers,
+                       const standins::replica_answer& source, const caller_exchange& exchange)
+{
+    bool is_after_source = false;
+    for (const standins::replica_answer* each : answers)
+    {
+        is_after_source = is_after_source || each == &source;
+        const bool is_of_exchange =
+            !exchange.is_id_repeated || each->arrived_at < exchange.ended_at;
+        if (is_of_exchange && each->status != ok &&
+            (is_after_source || each->arrival > source.arrival))
+            return true;
+    }
+    return false;
 }
 
 // Statuses that the gateway must not return for a valid request.
@@ -113,7 +150,8 @@
 void gateway_audit::add_exchange(const caller_exchange& exchange)
 {
     const std::scoped_lock lock(m_mutex);
-    m_exchange_of[exchange.id] = m_exchanges.size();
+    if (!exchange.is_id_repeated)
+        m_exchange_of[exchange.id] = m_exchanges.size();
     m_exchanges.push_back(exchange);
     ++m_statuses[exchange.answer.status];
     // A request sent on a persistent connection while the gateway closes it was not read.
@@ -246,7 +284,7 @@
                              !exchange.has_disconnected;
         if (is_lost && count > 0 && was_running(exchange))
             record_violation("every request is answered", exchange, exchange.answer.reason);
-        if (is_refusal && count > 0)
+        if (is_refusal && count > 0 && !exchange.is_id_repeated)
             record_violation("refused requests have not run", exchange,
                              fmt::format("ran {} times", count));
     }
@@ -255,13 +293,73 @@
             m_violations["only callers' requests run"].push_back(id);
 }
 
+void gateway_audit::check_sources(const std::vector<standins::replica_answer>& answers)
+{
+    using standins::replica_answer;
+    std::map<std::string, const replica_answer*> by_receipt;
+    std::map<std::string, std::vector<const replica_answer*>> by_request;
+    for (const replica_answer& each : answers)
+    {
+        if (!each.receipt.empty())
+            by_receipt[each.receipt] = &each;
+        by_request[each.replica + " " + each.request_id].push_back(&each);
+    }
+    const std::scoped_lock lock(m_mutex);
+    for (const caller_exchange& exchange : m_exchanges)
+    {
+        if (exchange.answer.status != ok)
+            continue;
+        const auto stamp = exchange.answer.fields.find("Response-Stamp");
+        std::vector<std::string> receipts = exchange.answer.receipts();
+        if (exchange.kind != request_kind::gathered && stamp != exchange.answer.fields.end())
+            receipts = {stamp->second};
+        ++m_checks["successes traced"];
+        std::vector<std::string> bodies;
+        for (const std::string& text : receipts)
+        {
+            ++m_checks["receipts traced"];
+            const auto found = by_receipt.find(text);
+            if (found == by_receipt.end())
+            {
+                record_violation(own_sending, exchange,
+                                 fmt::format("no sending has the receipt {}", text));
+                continue;
+            }
+            const replica_answer& source = *found->second;
+            bodies.push_back(source.body);
+            const auto& all = by_request[source.replica + " " + exchange.id];
+            if (source.request_id != exchange.id || source.status != ok ||
+                source.arrived_at < exchange.sent_at)
+                record_violation(own_sending, exchange,
+                                 fmt::format("{} has status {}; {}", text, source.status,
+                                             describe(all, exchange)));
+            if (exchange.kind != request_kind::gathered && has_later_failure(all, source, exchange))
+                m_successes_before_failures.push_back(fmt::format("{} at vm {} has {}; {}",
+                                                                  exchange.id, exchange.vm, text,
+                                                                  describe(all, exchange)));
+        }
+        std::sort(bodies.rbegin(), bodies.rend());
+        std::string body;
+        for (const std::string& each : bodies)
+            body += each;
+        if (body != exchange.answer.body)
+            record_violation(own_sending, exchange, "the body is not that of its sendings");
+    }
+}
+
+std::vector<std::string> gateway_audit::successes_before_failures() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_successes_before_failures;
+}
+
 void gateway_audit::check_disconnects(const std::map<std::string, time_point>& work_ends)
 {
     const std::scoped_lock lock(m_mutex);
     for (const caller_exchange& exchange : m_exchanges)
     {
         const auto found = work_ends.find(exchange.id);
-        if (!exchange.has_disconnected || found == work_ends.end())
+        if (!exchange.has_disconnected || found == work_ends.end() || exchange.is_id_repeated)
             continue;
         ++m_checks["callers that left"];
         // A replica hears nothing of the caller through links that are cut.
--- a/tests/chaos/gateway_audit.hpp
+++ b/tests/chaos/gateway_audit.hpp
@@ -62,6 +62,8 @@
     bool is_connection_reused = false;
     /// The caller closed its connection before its deadline, without an answer.
     bool has_disconnected = false;
+    /// The caller sent the id more than once, so that runs counted by id cover several exchanges.
+    bool is_id_repeated = false;
 };
 
 /// Thread-safe.
@@ -118,6 +120,13 @@
     /// requests and the budget of repeats.
     void check_repeats(const std::string& service, std::vector<time_point> arrivals);
 
+    /// Called after the run with the answers of all replicas: checks that each success is the
+    /// answer to a sending of its own attempt, which arrived after the caller began it.
+    void check_sources(const std::vector<standins::replica_answer>& answers);
+    /// Found by `check_sources`: successes of single requests of which a later sending to the same
+    /// replica did not succeed, with all answers of that replica.
+    std::vector<std::string> successes_before_failures() const;
+
     /// The replica announces its stop in all its answers from `begin_leaving` to `end_leaving`.
     void begin_leaving(const std::string& replica, time_point now);
     void end_leaving(const std::string& replica, time_point now);
@@ -208,6 +217,7 @@
                     const sender_finder& find_sender) const;
     void check_closing(const std::string& replica,
                        const std::vector<standins::request_arrival>& arrivals);
+    // Returns null when the id was sent more than once.
     const caller_exchange* find_exchange(const std::string& id) const;
     void check_gathered(const caller_exchange& exchange);
     void check_single(const caller_exchange& exchange);
@@ -236,6 +246,7 @@
     std::map<std::string, std::size_t> m_exchange_of;
     std::map<unsigned, std::size_t> m_statuses;
     std::map<std::string, std::size_t> m_checks;
+    std::vector<std::string> m_successes_before_failures;
 };
 
 } // namespace ospreystair::chaos
--- a/tests/chaos/gateway_audit_test.cpp
+++ b/tests/chaos/gateway_audit_test.cpp
@@ -29,7 +29,7 @@
         result.answer.status = ok;
         result.answer.is_sent = true;
         result.answer.fields["Part-Stamps"] = "a-0.1.x, b-1.7.x";
-        result.answer.body = "0123456789abcde10123456789abcde0";
+        result.answer.body = "00000000000000710000000000000010";
         return result;
     }
 
@@ -58,12 +58,12 @@
     foreign_part.answer.fields["Part-Stamps"] = "a-0.1.x, b-1.7.other";
     m_audit.add_exchange(foreign_part);
     caller_exchange foreign_record = make_complete_exchange(1s);
-    foreign_record.answer.body = "0123456789abcde20123456789abcde0";
+    foreign_record.answer.body = "00000000000000720000000000000010";
     m_audit.add_exchange(foreign_record);
     EXPECT_EQ(violations("answers are whole and their own"), 2U);
     caller_exchange uncounted = make_complete_exchange(1s);
     uncounted.answer.fields["Part-Stamps"] = "a-0.1.x";
-    uncounted.answer.body = "0123456789abcde0";
+    uncounted.answer.body = "0000000000000010";
     m_audit.add_exchange(uncounted);
     EXPECT_EQ(violations("parts and missing parts are one configuration's shards"), 1U);
 }
@@ -110,6 +110,58 @@
     EXPECT_EQ(violations("every request is answered"), 1U);
 }
 
+// Guards against an audit that accepts the answer to an earlier attempt, a failure, another
+// request's answer or another body as a success.
+TEST_F(gateway_audit_test, success_without_sending_of_its_attempt_is_reported)
+{
+    const auto count_with = [this](const std::function<void(standins::replica_answer&)>& change)
+    {
+        gateway_audit audit(m_disturbances);
+        audit.add_exchange(make_complete_exchange(1s));
+        caller_exchange single = make_complete_exchange(1s);
+        single.kind = request_kind::single;
+        single.answer.fields = {{"Response-Stamp", "b-1.7.x"}};
+        single.answer.body = "0000000000000071";
+        audit.add_exchange(single);
+        std::vector<standins::replica_answer> answers{
+            {"a-0", "a-0.1.x", "x", 1, m_start + 1001ms, "", ok, "0000000000000010"},
+            {"b-1", "b-1.7.x", "x", 7, m_start + 1001ms, "", ok, "0000000000000071"}};
+        change(answers.back());
+        audit.check_sources(answers);
+        return audit.violations("each success is the answer to a sending of its own attempt")
+            .size();
+    };
+    EXPECT_EQ(count_with([](standins::replica_answer&) {}), 0U);
+    EXPECT_EQ(count_with([this](auto& each) { each.arrived_at = m_start + 999ms; }), 2U);
+    EXPECT_EQ(count_with([](auto& each) { each.status = unavailable; }), 2U);
+    EXPECT_EQ(count_with([](auto& each) { each.request_id = "y"; }), 2U);
+    EXPECT_EQ(count_with([](auto& each) { each.body = "0000000000000081"; }), 2U);
+    // Once for the receipt and once for the body.
+    EXPECT_EQ(count_with([](auto& each) { each.receipt = "b-1.8.x"; }), 4U);
+}
+
+// Guards against later failures of a replica that are not listed, and against lists that hold
+// answers to the caller's later attempts.
+TEST_F(gateway_audit_test, success_before_a_failure_of_its_replica_is_listed)
+{
+    caller_exchange single = make_complete_exchange(1s);
+    single.kind = request_kind::single;
+    single.answer.fields = {{"Response-Stamp", "b-1.7.x"}};
+    single.answer.body = "0000000000000071";
+    const std::vector<standins::replica_answer> answers{
+        {"b-1", "b-1.7.x", "x", 7, m_start + 1001ms, "", ok, "0000000000000071"},
+        {"b-1", "", "x", 8, m_start + 1020ms, "", unavailable, "failure"}};
+    m_audit.add_exchange(single);
+    m_audit.check_sources(answers);
+    EXPECT_EQ(m_audit.successes_before_failures().size(), 1U);
+    gateway_audit repeated(m_disturbances);
+    single.is_id_repeated = true;
+    repeated.add_exchange(single);
+    repeated.check_sources(answers);
+    EXPECT_EQ(repeated.successes_before_failures().size(), 0U);
+    EXPECT_EQ(violations("each success is the answer to a sending of its own attempt"), 0U);
+}
+
 // Guards against repeats beyond the budget that no window reports.
 TEST_F(gateway_audit_test, arrivals_beyond_requests_and_budget_are_reported)
 {
--- a/tests/chaos/gateway_callers.cpp
+++ b/tests/chaos/gateway_callers.cpp
@@ -18,6 +18,7 @@
 using std::chrono::steady_clock;
 
 constexpr std::uint64_t thread_count = 6;
+constexpr std::uint64_t repeating_thread_count = 6;
 constexpr std::uint64_t max_pause_ms = 30;
 constexpr milliseconds readiness_check_interval{1'000};
 constexpr int failed_checks_before_removal = 2;
@@ -57,6 +58,8 @@
 {
     for (std::uint64_t number = 0; number < thread_count; ++number)
         m_threads.emplace_back([this, number] { run_requests(number); });
+    for (std::uint64_t number = 0; number < repeating_thread_count; ++number)
+        m_threads.emplace_back([this, number] { run_repeated_requests(number); });
     m_threads.emplace_back([this] { run_deadly_requests(); });
     m_threads.emplace_back([this] { run_load_balancer(); });
 }
@@ -133,6 +136,49 @@
     }
 }
 
+void gateway_callers::run_repeated_requests(std::uint64_t thread_number)
+{
+    constexpr unsigned ok = 200;
+    constexpr std::size_t max_attempts = 5;
+    constexpr std::uint64_t min_patience_ms = 3;
+    constexpr std::uint64_t patience_range_ms = 60;
+    base::seeded_random random(base::mix_bits(m_seed * thread_count + thread_number));
+    for (std::size_t number = 0; !m_is_stopped.load(); ++number)
+    {
+        const request_kind kind =
+            random.below(2) == 0 ? request_kind::single : request_kind::gathered;
+        const std::string id = fmt::format("r{}n{}", thread_number, number);
+        std::vector<caller_exchange> attempts;
+        while (attempts.size() < max_attempts &&
+               (attempts.empty() || attempts.back().answer.status != ok))
+        {
+            caller_exchange exchange;
+            exchange.kind = kind;
+            exchange.id = id;
+            // Often the same VM, which may send on the connection of the earlier attempt.
+            exchange.vm =
+                attempts.empty() || random.below(2) == 0 ? choose_vm(random) : attempts.back().vm;
+            exchange.incarnation = m_system.incarnation(exchange.vm);
+            testing_support::caller_message message = make_message(kind, id);
+            const milliseconds patience{
+                static_cast<std::int64_t>(min_patience_ms + random.below(patience_range_ms))};
+            message.close_delay = patience - message.deadline;
+            exchange.sent_at = steady_clock::now();
+            exchange.answer = m_system.fleet().send(exchange.vm, std::move(message));
+            exchange.ended_at = steady_clock::now();
+            exchange.has_disconnected = exchange.answer.status == 0 && exchange.answer.is_sent;
+            attempts.push_back(std::move(exchange));
+        }
+        for (caller_exchange& each : attempts)
+        {
+            each.is_id_repeated = attempts.size() > 1;
+            m_audit.add_exchange(each);
+        }
+        std::this_thread::sleep_for(
+            milliseconds{static_cast<std::int64_t>(random.below(max_pause_ms))});
+    }
+}
+
 void gateway_callers::run_requests(std::uint64_t thread_number)
 {
     base::seeded_random random(m_seed * thread_count + thread_number);
--- a/tests/chaos/gateway_callers.hpp
+++ b/tests/chaos/gateway_callers.hpp
@@ -29,6 +29,8 @@
 
 private:
     void run_requests(std::uint64_t thread_number);
+    // Sends ids again that were refused, lost or given up.
+    void run_repeated_requests(std::uint64_t thread_number);
     // Sends copies of the deadly request, while there is one.
     void run_deadly_requests();
     void run_load_balancer();
--- a/tests/chaos/gateway_run.cpp
+++ b/tests/chaos/gateway_run.cpp
@@ -37,7 +37,8 @@
                                       "callers of VMs without replicas are served",
                                       "memory stays bounded",
                                       "requests that crash replicas are stopped",
-                                      "innocent requests are not refused as deadly"};
+                                      "innocent requests are not refused as deadly",
+                                      "each success is the answer to a sending of its own attempt"};
 
 std::string service_of(const std::string& replica)
 {
@@ -55,6 +56,8 @@
     std::map<std::string, disturbance_log::time_point> work_ends;
     std::vector<standins::request_crash> crashes;
     std::vector<standins::request_arrival> all_arrivals;
+    std::vector<standins::replica_answer> answers;
+    std::uint64_t second_copies = 0;
     for (const auto& [id, target] : system.fleet().replicas())
     {
         for (const auto& [request, count] : target->executions())
@@ -67,11 +70,16 @@
         crashes.insert(crashes.end(), replica_crashes.begin(), replica_crashes.end());
         const auto request_arrivals = target->request_arrivals();
         all_arrivals.insert(all_arrivals.end(), request_arrivals.begin(), request_arrivals.end());
+        const auto replica_answers = target->answers();
+        answers.insert(answers.end(), replica_answers.begin(), replica_answers.end());
+        second_copies += target->second_copies();
         const auto times = target->arrival_times();
         auto& service_arrivals = arrivals[service_of(id)];
         service_arrivals.insert(service_arrivals.end(), times.begin(), times.end());
     }
     audit.check_deadly_requests(std::move(crashes), all_arrivals, find_sender);
+    audit.check_sources(answers);
+    fmt::print("{} answers of replicas, {} of them sent twice\n", answers.size(), second_copies);
     audit.check_reach_losses();
     audit.check_executions(executions);
     audit.check_disconnects(work_ends);
@@ -84,7 +92,8 @@
     disturbance_log disturbances;
     gateway_audit audit(disturbances);
     gateway_system system(audit, disturbances,
-                          settings.vms == 0 ? gateway_system::default_vm_count : settings.vms);
+                          settings.vms == 0 ? gateway_system::default_vm_count : settings.vms,
+                          settings.gateway);
     auto schedule = make_schedule(settings.seed, settings.duration, system.make_schedule_options());
     const auto fleet_faults =
         make_fleet_schedule(settings.seed, settings.duration, system.make_schedule_options());
@@ -98,6 +107,11 @@
     const bool is_recovered = system.wait_until_recovered();
 
     fmt::print("{}\n", audit.summary());
+    // Allowed, for example when a hedge is refused after the first sending was answered.
+    const auto before_failures = audit.successes_before_failures();
+    fmt::print("{} successes of which a later sending did not succeed\n", before_failures.size());
+    for (const std::string& each : before_failures)
+        fmt::print("     {}\n", each);
     report results(settings.seed);
     results.add("recovered", is_recovered ? std::vector<std::string>()
                                           : std::vector<std::string>{"a VM is not ready, or does "
--- a/tests/chaos/gateway_system.cpp
+++ b/tests/chaos/gateway_system.cpp
@@ -46,24 +46,29 @@
     result.body = behaviour.body;
     result.crash_text = behaviour.crash_text;
     result.restart_delay = behaviour.restart_delay;
+    result.numbers_bodies = behaviour.numbers_bodies;
     return result;
 }
 
 } // namespace
 
-testing_support::fleet_options gateway_system::make_options(std::size_t vm_count)
+testing_support::fleet_options gateway_system::make_options(std::size_t vm_count,
+                                                            const std::string& program)
 {
     testing_support::fleet_options options;
     options.vms = vm_count;
     options.has_routes = vm_count <= max_vms_with_routes;
     options.shards = shard_count;
     options.replicas = replica_count;
+    if (!program.empty())
+        options.program = program;
     return options;
 }
 
 gateway_system::gateway_system(gateway_audit& audit, disturbance_log& disturbances,
-                               std::size_t vm_count)
-    : m_audit(audit), m_disturbances(disturbances), m_fleet(make_options(vm_count)), m_vms(vm_count)
+                               std::size_t vm_count, const std::string& program)
+    : m_audit(audit), m_disturbances(disturbances), m_fleet(make_options(vm_count, program)),
+      m_vms(vm_count)
 {
     std::vector<std::string> shards;
     for (const Json::Value& shard : m_fleet.configuration()["routes"][0]["gather"])
@@ -81,6 +86,7 @@
         {
             behaviour.crash_text = deadly_prefix;
             behaviour.restart_delay = deadly_restart_delay;
+            behaviour.numbers_bodies = true;
         });
 }
 
@@ -100,6 +106,24 @@
             m_fleet.replica(m_replicas[index]).crash(restart_delay);
 }
 
+void gateway_system::stutter(std::uint64_t variant)
+{
+    constexpr std::array<unsigned, 3> refused{0, 5, 25};
+    constexpr std::array<unsigned, 3> failed{5, 15, 30};
+    constexpr std::array<unsigned, 2> repeated{30, 60};
+    constexpr std::array delays{milliseconds{8}, milliseconds{40}, milliseconds{300}};
+    base::seeded_random random(variant);
+    standins::stutter_settings settings;
+    settings.refused_percent = refused.at(random.below(refused.size()));
+    settings.failed_percent = failed.at(random.below(failed.size()));
+    settings.repeated_percent = repeated.at(random.below(repeated.size()));
+    settings.max_copy_delay = delays.at(random.below(delays.size()));
+    settings.repeats_failures = random.below(2) == 0;
+    settings.max_further_latency = milliseconds{20};
+    m_fleet.change_all_replicas([&settings](replica_behaviour& behaviour)
+                                { behaviour.stutter = settings; });
+}
+
 gateway_system::~gateway_system()
 {
     for (vm_state& item : m_vms)
@@ -155,6 +179,8 @@
         return;
     case fault_kind::crash_replicas:
         return crash_replicas(fault.variant);
+    case fault_kind::stuttering_replicas:
+        return stutter(fault.variant);
     }
 }
 
@@ -204,6 +230,9 @@
     case fault_kind::deadly_requests:
         m_deadly_number.store(0);
         return;
+    case fault_kind::stuttering_replicas:
+        return m_fleet.change_all_replicas([](replica_behaviour& behaviour)
+                                           { behaviour.stutter = {}; });
     }
 }
 
@@ -462,6 +491,7 @@
                                replica_behaviour repaired = without_faults(behaviour);
                                repaired.never_answers = behaviour.never_answers;
                                repaired.latency = behaviour.latency;
+                               repaired.stutter = behaviour.stutter;
                                repaired.request_limit = behaviour.request_limit;
                                repaired.has_endless_head = behaviour.has_endless_head;
                                repaired.has_endless_body = behaviour.has_endless_body;
--- a/tests/chaos/gateway_system.hpp
+++ b/tests/chaos/gateway_system.hpp
@@ -34,7 +34,9 @@
     /// the replicas, so that links are not cut there.
     static constexpr std::size_t max_vms_with_routes = 24;
 
-    gateway_system(gateway_audit& audit, disturbance_log& disturbances, std::size_t vm_count);
+    /// `program` is the gateway to run; empty for that of this build.
+    gateway_system(gateway_audit& audit, disturbance_log& disturbances, std::size_t vm_count,
+                   const std::string& program);
     ~gateway_system();
     gateway_system(const gateway_system&) = delete;
     gateway_system& operator=(const gateway_system&) = delete;
@@ -76,7 +78,8 @@
         std::atomic<bool> is_disturbed{false};
     };
 
-    static testing_support::fleet_options make_options(std::size_t vm_count);
+    static testing_support::fleet_options make_options(std::size_t vm_count,
+                                                       const std::string& program);
     void clear_replica_fault(const std::string& id);
     const std::string& choose_replica(const scheduled_fault& fault);
     const std::string& find_target(const scheduled_fault& fault) const
@@ -93,7 +96,8 @@
     void check_memory(std::size_t vm);
     void restore_vm(const scheduled_fault& fault);
     void crash_replicas(std::uint64_t variant);
-    // Lets all replicas crash under requests with deadly content.
+    void stutter(std::uint64_t variant);
+    // Lets all replicas crash under requests with deadly content, and makes their bodies differ.
     void arm_replicas();
     void restart(std::size_t vm);
     void change_store(const scheduled_fault& fault);
--- a/tests/chaos/run_support.cpp
+++ b/tests/chaos/run_support.cpp
@@ -25,7 +25,8 @@
         {"seed", "Seed of the schedule", "1"},
         {"minutes", "Length of the run in minutes", "0"},
         {"seconds", "Length of the run in seconds, added to the minutes", "0"},
-        {"vms", "Number of VMs, for programs that support it; 0 for the default", "0"}};
+        {"vms", "Number of VMs, for programs that support it; 0 for the default", "0"},
+        {"gateway", "Gateway program, for programs that support it; empty for this build's", ""}};
     const auto table =
         settings::option_table::create(program, description, options, argc, argv, reason);
     if (!table)
@@ -40,7 +41,7 @@
                                          std::chrono::seconds(static_cast<std::int64_t>(*seconds));
     if (duration.count() == 0)
         duration = std::chrono::minutes{1};
-    return run_settings{*seed, duration, static_cast<std::size_t>(*vms)};
+    return run_settings{*seed, duration, static_cast<std::size_t>(*vms), table->text("gateway")};
 }
 
 } // namespace
--- a/tests/chaos/run_support.hpp
+++ b/tests/chaos/run_support.hpp
@@ -23,6 +23,8 @@
     std::chrono::milliseconds duration{0};
     /// Number of VMs; 0 for the program's default.
     std::size_t vms = 0;
+    /// The gateway to run; empty for that of this build.
+    std::string gateway = {};
 };
 
 /// The main function of a chaos program: reads --seed, --minutes and --seconds, and returns 0 when
