Http: Keep the status of a reply that was cut off from the next one

Callers got 200 with the receipt and the body of a run that had failed. Cause: a replica sent the first bytes of a second answer and no more ("HTTP/1.1 200 O", or as far as into the value of a header field in front of the id), and then its answer to the next request on that connection. The parser took the rest of the first line, a status line, for the reason phrase or for the rest of the value: the status was that of the cut copy, the id, the receipt and the body were those of the real answer. The id matches, nothing was sent twice, and no attempt failed, so that nothing was logged. Class: bytes on a connection are taken for the answer to a request to which they do not belong. Change: - A reply with a status line ("HTTP/1.x nnn") in its reason phrase or in the value of a field is malformed, on connections to replicas and VMs (reply_parser) and on those of the product's own entries (client_connection). Not ended: a true answer that is cut in its body on a connection that stays open, whose missing bytes a second answer fills.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -2,15 +2,31 @@
 
 #include "http/client_connection.hpp"
 
+#include <algorithm>
 #include <utility>
 
 #include <fmt/format.h>
 
 #include "http/connection_liveness.hpp"
+#include "http/status_line.hpp"
+#include "http/string_views.hpp"
 
 namespace ospreystair::http
 {
 
+namespace
+{
+
+bool continues_other_reply(const response& reply)
+{
+    return contains_status_line(to_view(reply.reason())) ||
+           std::any_of(reply.begin(), reply.end(),
+                       [](const auto& item)
+                       { return contains_status_line(to_view(item.value())); });
+}
+
+} // namespace
+
 client_connection::client_connection(asio::io_context& context)
     : m_stream(asio::make_strand(context)), m_buffer(max_unparsed_bytes)
 {
@@ -94,6 +110,8 @@
         co_await beast::http::async_read(m_stream, m_buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, code));
     }
+    if (!code && continues_other_reply(parser.get()))
+        code = beast::http::error::bad_value;
     if (code)
     {
         result.reason = describe_failure(code, operation);
--- a/source/http/reply_parser.cpp
+++ b/source/http/reply_parser.cpp
@@ -2,6 +2,9 @@
 
 #include "http/reply_parser.hpp"
 
+#include "http/status_line.hpp"
+#include "http/string_views.hpp"
+
 namespace ospreystair::http
 {
 
@@ -45,16 +48,21 @@
 {
 }
 
-void reply_parser::on_response_impl(int status, beast::string_view, int, beast::error_code& code)
+void reply_parser::on_response_impl(int status, beast::string_view reason, int,
+                                    beast::error_code& code)
 {
-    code = {};
+    code = contains_status_line(to_view(reason)) ? beast::http::error::bad_reason
+                                                 : beast::error_code{};
     m_status = static_cast<unsigned>(status);
 }
 
 void reply_parser::on_field_impl(beast::http::field, beast::string_view name_text,
                                  beast::string_view value, beast::error_code& code)
 {
-    code = {};
+    code =
+        contains_status_line(to_view(value)) ? beast::http::error::bad_value : beast::error_code{};
+    if (code)
+        return;
     field_position position;
     position.name_offset = static_cast<std::uint32_t>(m_field_text.size());
     position.name_size = static_cast<std::uint32_t>(name_text.size());
--- a/source/http/reply_parser.hpp
+++ b/source/http/reply_parser.hpp
@@ -16,7 +16,7 @@
 
 /// Beast's parser without its message type: a query over many shards receives a reply from each,
 /// and a message object, which allocates a node for each field, took a fifth of the processor time
-/// of a sub-request.
+/// of a sub-request. A reply that continues another one which was cut off is malformed.
 class reply_parser : public beast::http::basic_parser<false>
 {
     struct field_position
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -112,6 +112,13 @@
 
     bool is_open() const { return m_state == state::open; }
     bool is_free() const { return m_state != state::closed && !m_on_result; }
+    /// Whether bytes have arrived that answer no request and are no complete reply. The next reply
+    /// would be read as their rest, so that the connection must not carry another request.
+    bool has_unfinished_reply() const
+    {
+        return !m_on_result &&
+               (m_buffer.size() > 0 || (m_parser && m_parser->got_some() && !m_parser->is_done()));
+    }
     /// Whether a request with this id was sent before, so that a late copy of its reply would be
     /// taken for the reply to the next sending.
     bool has_carried(std::string_view id) const { return m_sent_ids.contains(id); }
--- a/tests/gateway/gateway_sending_test.cpp
+++ b/tests/gateway/gateway_sending_test.cpp
@@ -63,6 +63,10 @@
     std::vector<milliseconds> copies = {};
     /// Sends a second answer in front of the next one on the connection.
     bool is_repeated_late = false;
+    /// Bytes of a second answer that is cut off: sent behind the answer, and in front of the next
+    /// one on the connection.
+    std::size_t cut_copy_size = 0;
+    std::size_t late_cut_copy_size = 0;
     /// Closes the connection instead of answering.
     bool closes = false;
 };
@@ -202,8 +206,9 @@
         if (plan.closes)
             client->socket.close(ignored);
         const std::string late =
-            std::exchange(client->late_answer, plan.is_repeated_late ? text : "");
-        send(*client, late + text);
+            std::exchange(client->late_answer,
+                          plan.is_repeated_late ? text : text.substr(0, plan.late_cut_copy_size));
+        send(*client, late + text + text.substr(0, plan.cut_copy_size));
         {
             const std::scoped_lock lock(m_mutex);
             m_sendings[number].is_answered = true;
@@ -573,6 +578,32 @@
     }
 }
 
+// Guards against a success with the status of an earlier answer's second copy that was cut off, and
+// the receipt and the body of the failure behind it.
+TEST_F(gateway_sending_test, cut_copy_gives_its_status_to_no_other_answer)
+{
+    // "HTTP/1.1 200 S" and "HTTP/1.1 200 Status\r\nRequest-Id: read-9\r\nServer-Load: 1".
+    for (const std::size_t size : {14U, 56U})
+        for (const bool is_late : {false, true})
+            for (int round = 0; round < 4; ++round)
+            {
+                std::atomic<bool> fails = false;
+                m_fleet.replicas().plan(
+                    [&fails, size, is_late](const numbered_sending&)
+                    {
+                        reply_plan result;
+                        result.status = fails.load() ? 500 : ok_status;
+                        if (!fails.load())
+                            (is_late ? result.late_cut_copy_size : result.cut_copy_size) = size;
+                        return result;
+                    });
+                EXPECT_EQ(m_fleet.send(0, "num0", m_fleet.make_id(), 1000ms).status, ok_status);
+                fails.store(true);
+                EXPECT_GE(m_fleet.send(0, "num0", m_fleet.make_id(), 1000ms).status, 500U);
+                m_fleet.replicas().plan({});
+            }
+}
+
 // Guards against an answer that a frozen VM finds when it goes on, and takes for a later sending.
 TEST_F(gateway_sending_test, answers_that_arrive_while_the_vm_is_frozen_belong_to_their_attempts)
 {
--- a/tests/unit/http_stray_reply_test.cpp
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -342,6 +342,70 @@
     EXPECT_EQ(dropped().size(), 1U);
 }
 
+// Guards against a success with the status of a second answer that was cut off, and the fields and
+// the body of the failure behind it.
+TEST_F(stray_reply_test, copy_that_ends_anywhere_leaves_no_mixed_reply)
+{
+    const std::string own = "Response-Stamp: r.1\r\nServer-Load: 1,0,2\r\n";
+    for (const bool is_id_first : {true, false})
+    {
+        const std::string id = "X-Request-Id: a\r\n";
+        const std::string copy = "HTTP/1.1 200 OK\r\n" + (is_id_first ? id + own : own + id) +
+                                 "Content-Length: 5\r\n\r\nfirst";
+        for (std::size_t end = 1; end < copy.size(); ++end)
+        {
+            open();
+            exchange("a");
+            const int second = send("b");
+            read_request();
+            write(copy.substr(0, end) + make_reply("b", second, 500));
+            end_of_stream();
+            const delivered_result result = result_of(second);
+            EXPECT_TRUE(!result.has_reply || result.status == 500)
+                << "delivered after " << end << " bytes: " << result.status << ", " << result.body;
+        }
+    }
+}
+
+// Guards against a request that is sent behind the first part of a stray reply, whose rest its own
+// reply would become.
+TEST_F(stray_reply_test, part_of_a_stray_reply_shows_until_its_end)
+{
+    const std::string copy = make_reply("a", 1);
+    for (std::size_t cut = 1; cut < copy.size(); ++cut)
+    {
+        open();
+        exchange("a");
+        EXPECT_FALSE(connection().has_unfinished_reply());
+        write(copy.substr(0, cut));
+        EXPECT_TRUE(connection().has_unfinished_reply()) << cut;
+        write(copy.substr(cut));
+        EXPECT_FALSE(connection().has_unfinished_reply()) << cut;
+    }
+}
+
+// Guards against a connection that is not used for the next request, although it is clean.
+TEST_F(stray_reply_test, answered_connection_is_clean_within_the_result_handler)
+{
+    bool is_unfinished = true;
+    const int sending = send(
+        "a", {}, [this, &is_unfinished] { is_unfinished = connection().has_unfinished_reply(); });
+    read_request();
+    write(make_reply("a", sending));
+    expect_answered(sending);
+    EXPECT_FALSE(is_unfinished);
+}
+
+// Guards against replies that are refused for fields which name a protocol.
+TEST_F(stray_reply_test, reply_with_protocol_in_a_field_is_delivered)
+{
+    const int sending = send("a");
+    read_request();
+    write(head_of("a") + "Via: HTTP/1.1 proxy, HTTP/1.0 2\r\nUpgrade: HTTP/2.0\r\n" +
+          fmt::format("Content-Length: {}\r\n\r\n{}", body_of(sending).size(), body_of(sending)));
+    expect_answered(sending);
+}
+
 // Guards against a reply whose first half is read while nothing is in flight.
 TEST_F(stray_reply_test, copy_cut_by_next_request_is_dropped)
 {
--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -466,6 +466,19 @@
     EXPECT_LT(result.elapsed, max_wait);
 }
 
+// Guards against a reply with the status of one that was cut off in front of it.
+TEST_F(client_connection_test, reply_that_continues_a_cut_one_fails_with_protocol)
+{
+    const std::string failure = "HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno";
+    for (const std::string cut : {"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nServer: a"})
+    {
+        const exchange_outcome result = exchange(cut + failure, false);
+        EXPECT_FALSE(result.reply) << cut;
+        EXPECT_EQ(result.reason.kind, base::error_kind::protocol) << result.reason.message;
+        EXPECT_FALSE(result.is_open);
+    }
+}
+
 // Guards against a second reply that the next request on the connection would take for its own
 // reply.
 TEST_F(client_connection_test, bytes_after_the_reply_close_the_connection)
