Soak: Cut off second answers

Change: in half of the times in which replicas stutter, 30 of 100 second answers end anywhere, on a connection that stays open.

--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -475,16 +475,20 @@
 void replica_standin::schedule_copy(const std::shared_ptr<session>& client_session,
                                     const std::string& text, const replica_behaviour& behaviour)
 {
+    constexpr std::uint64_t percent = 100;
+    const auto max_delay = static_cast<std::uint64_t>(behaviour.stutter.max_copy_delay.count());
     client_session->last_answer = text;
     ++client_session->copy_number;
-    const auto max_delay = static_cast<std::uint64_t>(behaviour.stutter.max_copy_delay.count());
-    if (max_delay == 0)
-        return;
     milliseconds delay{0};
     {
         const std::scoped_lock lock(m_mutex);
-        delay = milliseconds{1 + static_cast<std::int64_t>(m_random.below(max_delay))};
+        if (max_delay > 0)
+            delay = milliseconds{1 + static_cast<std::int64_t>(m_random.below(max_delay))};
+        if (m_random.below(percent) < behaviour.stutter.cut_percent)
+            client_session->last_answer.resize(1 + m_random.below(text.size() - 1));
     }
+    if (max_delay == 0)
+        return;
     http::asio::co_spawn(
         m_context,
         [self = shared_from_this(), client_session, delay]
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -32,6 +32,8 @@
     /// connection, or after up to `max_copy_delay` when there is none before.
     unsigned repeated_percent = 0;
     std::chrono::milliseconds max_copy_delay{0};
+    /// Second answers that are cut off anywhere. Their connections stay open.
+    unsigned cut_percent = 0;
     /// Whether refusals and failures are sent a second time too.
     bool repeats_failures = false;
     /// Added to the latency of a request, at random.
--- a/tests/chaos/gateway_system.cpp
+++ b/tests/chaos/gateway_system.cpp
@@ -111,6 +111,7 @@
     constexpr std::array<unsigned, 3> refused{0, 5, 25};
     constexpr std::array<unsigned, 3> failed{5, 15, 30};
     constexpr std::array<unsigned, 2> repeated{30, 60};
+    constexpr std::array<unsigned, 2> cut{0, 30};
     constexpr std::array delays{milliseconds{8}, milliseconds{40}, milliseconds{300}};
     base::seeded_random random(variant);
     standins::stutter_settings settings;
@@ -119,6 +120,7 @@
     settings.repeated_percent = repeated.at(random.below(repeated.size()));
     settings.max_copy_delay = delays.at(random.below(delays.size()));
     settings.repeats_failures = random.below(2) == 0;
+    settings.cut_percent = cut.at(random.below(cut.size()));
     settings.max_further_latency = milliseconds{20};
     m_fleet.change_all_replicas([&settings](replica_behaviour& behaviour)
                                 { behaviour.stutter = settings; });
