--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -68,11 +68,13 @@
 };
 
 /// Reads continuously, so that a closure by the other side is noticed at once and bytes that belong
-/// to no request are dropped: a late second reply is recognised by its id. The id names the request
-/// and not one sending of it, so that a connection must not carry an id twice (`has_carried`). A
-/// connection that no longer responds is not detected here: the next reply on it is overdue, and
-/// the owner closes the connection. All members belong to the context's only thread; result
-/// handlers are never called from within a call of a member.
+/// to no request are dropped: a late second reply is recognised by its id, and one that was cut off
+/// by the status line of the next reply within it (`reply_parser`) or, while nothing is in flight,
+/// by `has_unfinished_reply`. The id names the request and not one sending of it, so that a
+/// connection must not carry an id twice (`has_carried`). A connection that no longer responds is
+/// not detected here: the next reply on it is overdue, and the owner closes the connection. All
+/// members belong to the context's only thread; result handlers are never called from within a call
+/// of a member.
 class upstream_connection : public std::enable_shared_from_this<upstream_connection>
 {
 public:
