Soak: Count first tries only where VMs have lost their replicas

Cause: callers that send an id again at once after a refusal are new in the soak. Each of their attempts counted in "callers of VMs without replicas are served", up to five a request and often at the same VM; the users' rule counts consumers' first tries, as the check did while all requests were first tries. Change: attempts after the first with one id do not count there.

--- a/tests/chaos/gateway_audit.hpp
+++ b/tests/chaos/gateway_audit.hpp
@@ -64,6 +64,8 @@
     bool has_disconnected = false;
     /// The caller sent the id more than once, so that runs counted by id cover several exchanges.
     bool is_id_repeated = false;
+    /// False for attempts after the first with one id.
+    bool is_first_try = true;
 };
 
 /// Thread-safe.
--- a/tests/chaos/gateway_callers.cpp
+++ b/tests/chaos/gateway_callers.cpp
@@ -155,6 +155,7 @@
             caller_exchange exchange;
             exchange.kind = kind;
             exchange.id = id;
+            exchange.is_first_try = attempts.empty();
             // Often the same VM, which may send on the connection of the earlier attempt.
             exchange.vm =
                 attempts.empty() || random.below(2) == 0 ? choose_vm(random) : attempts.back().vm;
