Forwarding: Gather late queries for the objective once more

What callers saw: a VM whose links to all replicas are frozen tries them with one request every two seconds.

Cause: the trial waits 0.42 s for its replicas and is handed over then, past its objective of 200 ms. For a query past its objective, request_run answered after `overdue_after`, the 93rd percentile of recent latencies but at least 5/4 of the median, with whatever was in by then (two parts are enough on this route). In the traces that is 3.2 to 9.9 ms. A query of less than eight parts hedges an overdue part at that very moment, so that it got no second reply when late ("sends 4, repeats 0, shard2: overdue").

Change: a query that arrives past its objective gathers for the objective once more, as one in time does, but for half of the remaining time at most, so that the answer still reaches the caller. No earlier answer can be in time any more, and what it leaves out is lost to the caller. A late query may now hedge within the budget for repeats, like any other. What is not past its objective is answered as before.

All 533 unit tests and the 18 of gateway_handover_test pass.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -64,6 +64,9 @@
     static constexpr std::chrono::milliseconds answer_margin{10};
     /// A request waits for a connection for at most the objective divided by this.
     static constexpr int max_wait_divisor = 4;
+    /// The parts of a gathered query that arrives past its objective get at most the remaining time
+    /// divided by this; the rest is left for the answer's way to the caller.
+    static constexpr int late_part_time_divisor = 2;
     /// Replicas that were asked at the start of a request are silent by then.
     static constexpr std::chrono::milliseconds reach_check_delay =
         reach_monitor::silence_threshold + std::chrono::milliseconds{20};
@@ -206,13 +209,20 @@
     base::time_point compute_answer_time() const
     {
         const base::time_point now = m_dispatcher.now();
-        const base::time_point objective_end =
-            now + m_route.objective - m_request.time_used - m_request.network_time -
+        const base::duration time_used = m_request.time_used + m_request.network_time;
+        const base::duration margin =
             std::min<base::duration>(answer_margin, m_route.objective / 4);
-        // When the objective has already passed, parts that answer within the normal time are still
-        // included.
+        base::duration part_time = m_route.objective - margin;
+        // Once the objective has passed, a complete answer is worth more than an early one: parts
+        // that are slow or sent again get as long as those of a request in time.
+        if (time_used < m_route.objective)
+            part_time -= time_used;
+        else
+            part_time =
+                std::min(part_time, m_deadline_budget.remaining(now) / late_part_time_divisor);
+        // Parts that answer within the normal time are included in any case.
         return std::min(m_deadline_budget.end(),
-                        std::max(objective_end, now + m_baseline.overdue_after));
+                        now + std::max(part_time, m_baseline.overdue_after));
     }
 
     bool refuse_if_unservable(const std::vector<std::string>& services)
--- a/tests/unit/dispatcher_fixture.hpp
+++ b/tests/unit/dispatcher_fixture.hpp
@@ -260,7 +260,7 @@
         caller_request<message> request;
         request.id = "id";
         request.message = std::make_shared<const message>();
-        request.deadline = 1000ms;
+        request.deadline = m_deadline;
         request.network_time = network_time;
         request.fingerprint = fingerprint;
         request.team = m_team;
@@ -341,6 +341,8 @@
     std::shared_ptr<test_dispatcher::run_type> m_run;
     // The table by which requests were routed before they waited; null for the current one.
     std::shared_ptr<const route_table> m_waited_since;
+    // How long callers wait.
+    milliseconds m_deadline{1000};
     // The team of all requests.
     std::shared_ptr<const teams::team> m_team;
     // Requests offered to other VMs.
