Entry: Take only replies that repeat the ids of a command for its outcome

Seen by callers: a command was reported as not run although it had run, and ran a second time when the caller repeated it with the same key.

Cause: replicas refused without ids, and command_sender took a refusal without an id for that of the command in flight. A replica that sends its refusal of an earlier command a second time, while the next command runs, so made that one "not run", and its claim was released. The connection was kept, so that the reply to each command was read as the reply to the next one from then on.

Change: each reply repeats the ids of its request, refusals too (docs/design.md 4.3); the stand-in does so, and can send each reply a second time. upstream_client::exchange drops a reply that does not repeat them and closes the connection; the command is then unknown, because it may have run.

--- a/programs/entry/command_sender.cpp
+++ b/programs/entry/command_sender.cpp
@@ -46,17 +46,16 @@
     return rpc::parse_json(body, ignored) ? body : quote(body);
 }
 
-// A reply counts only if it carries the request's id. Upstreams refuse without repeating the id;
-// such a refusal belongs to this request, because the connection carries no other.
-dispatch::outcome outcome_of(const command_request& command, const http::response& reply)
+dispatch::outcome outcome_of(const query::upstream_exchange& exchange)
 {
-    const auto request_id = reply["X-Request-Id"];
-    const bool is_for_this_request = request_id == command.request_id;
-    if (is_true(reply, "X-Not-Run") && (is_for_this_request || request_id.empty()))
+    if (!exchange.reply)
+        return exchange.progress == http::exchange_progress::nothing_sent
+                   ? dispatch::outcome::not_run
+                   : dispatch::outcome::unknown;
+    if (is_true(*exchange.reply, "X-Not-Run"))
         return dispatch::outcome::not_run;
-    if (is_for_this_request && reply.result() == http::status::ok)
-        return dispatch::outcome::ran;
-    return dispatch::outcome::unknown;
+    return exchange.reply->result() == http::status::ok ? dispatch::outcome::ran
+                                                        : dispatch::outcome::unknown;
 }
 
 } // namespace
@@ -127,17 +126,14 @@
     command_result result(dispatch::outcome::unknown, std::move(claim));
     const base::time_point start = m_clock.now();
     m_policy.begin(*ready.target);
-    http::exchange_progress progress = http::exchange_progress::nothing_sent;
     const auto message =
         make_command_request(*ready.target, command, result.claim, deadline - start);
-    const auto reply =
-        co_await ready.connection->exchange(message, deadline, progress, result.reason);
+    const query::upstream_exchange ended =
+        co_await m_upstreams.exchange(ready.connection, message, deadline);
     ready.pool->release(ready.connection);
-    if (reply)
-        result.result = outcome_of(command, *reply);
-    else if (progress == http::exchange_progress::nothing_sent)
-        result.result = dispatch::outcome::not_run;
-    record_exchange(*ready.target, command, reply, start, result);
+    result.result = outcome_of(ended);
+    result.reason = ended.reason;
+    record_exchange(*ready.target, command, ended, start, result);
     co_return result;
 }
 
@@ -153,11 +149,14 @@
 // routing.
 void command_sender::record_exchange(const configuration::replica& target,
                                      const command_request& command,
-                                     const std::optional<http::response>& reply,
-                                     base::time_point start, command_result& result)
+                                     const query::upstream_exchange& ended, base::time_point start,
+                                     command_result& result)
 {
-    query::sub_reply routing_reply{query::sub_result::unreachable, {}, result.reason};
-    if (reply)
+    query::sub_reply routing_reply{ended.is_mismatched ? query::sub_result::mismatched
+                                                       : query::sub_result::unreachable,
+                                   {},
+                                   result.reason};
+    if (const auto& reply = ended.reply)
     {
         result.answer = to_json_text(reply->body());
         routing_reply.is_draining = is_true(*reply, "X-Draining");
--- a/programs/entry/command_sender.hpp
+++ b/programs/entry/command_sender.hpp
@@ -66,7 +66,7 @@
     void record_connect_failure(const configuration::replica& target, const base::error& reason,
                                 base::time_point start);
     void record_exchange(const configuration::replica& target, const command_request& command,
-                         const std::optional<http::response>& reply, base::time_point start,
+                         const query::upstream_exchange& ended, base::time_point start,
                          command_result& result);
 
     // A connection that is ready for the command.
--- a/source/dispatch/outcome.hpp
+++ b/source/dispatch/outcome.hpp
@@ -14,7 +14,7 @@
 {
     ran,     ///< The upstream answered that it ran.
     not_run, ///< No byte of it reached a request handler, or the upstream refused it as not run.
-    unknown  ///< Bytes were sent and no complete reply was received.
+    unknown  ///< Bytes were sent and no complete reply to them was received.
 };
 
 /// Returns "ran", "not_run" or "unknown".
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -3,6 +3,7 @@
 #include "query/upstream_client.hpp"
 
 #include <algorithm>
+#include <array>
 #include <memory>
 #include <optional>
 #include <set>
@@ -62,9 +63,18 @@
     return {result, {}, {kind, std::move(message)}};
 }
 
-std::string_view header(const http::response& reply, std::string_view name)
+template<class Message>
+std::string_view header(const Message& message, std::string_view name)
 {
-    return http::to_view(reply[http::to_beast(name)]);
+    return http::to_view(message[http::to_beast(name)]);
+}
+
+bool repeats_ids(const http::request& message, const http::response& reply)
+{
+    constexpr std::array<std::string_view, 3> id_fields{"X-Request-Id", "X-Sub-Request", "X-Shard"};
+    return std::all_of(id_fields.begin(), id_fields.end(),
+                       [&](std::string_view name)
+                       { return header(reply, name) == header(message, name); });
 }
 
 // Each answer is inserted unchanged into the document for the caller, so an answer that is not JSON
@@ -210,6 +220,24 @@
     co_return result;
 }
 
+http::awaitable<upstream_exchange>
+upstream_client::exchange(connection_pointer connection,
+                          std::shared_ptr<const http::request> message, base::time_point deadline)
+{
+    upstream_exchange result;
+    result.reply = co_await connection->exchange(message, deadline, result.progress, result.reason);
+    if (!result.reply || repeats_ids(*message, *result.reply))
+        co_return result;
+    m_mismatched_count.add();
+    connection->close();
+    result.reply.reset();
+    result.is_mismatched = true;
+    base::fail(result.reason, base::error_kind::protocol,
+               "the reply does not repeat the ids of its request; it was dropped and the "
+               "connection closed; see the replica's log");
+    co_return result;
+}
+
 sub_reply upstream_client::check_reply(const sub_request& message, const http::response& reply)
 {
     sub_reply result;
--- a/source/query/upstream_client.hpp
+++ b/source/query/upstream_client.hpp
@@ -21,6 +21,18 @@
 /// them; empty when it names none or the text is no number.
 std::optional<double> find_request_limit(const http::response& reply);
 
+/// How an exchange with a replica ended.
+struct upstream_exchange
+{
+    /// A complete reply to this request; empty when none arrived.
+    std::optional<http::response> reply;
+    http::exchange_progress progress = http::exchange_progress::nothing_sent;
+    /// A complete reply arrived and did not repeat the ids of the request, which may have run.
+    bool is_mismatched = false;
+    /// Set when there is no reply.
+    base::error reason;
+};
+
 /// Owns the connection pools of all replicas. Thread-safe.
 class upstream_client
 {
@@ -39,6 +51,14 @@
                                     const sub_request& message, base::time_point deadline,
                                     std::shared_ptr<cancellation> cancel);
 
+    /// Sends a request to a replica and reads its reply. Replicas repeat the ids of a request in
+    /// each reply, refusals too. A reply that does not may be a late second reply to an earlier
+    /// request: it is dropped, and the connection closed, because the replies that follow would be
+    /// taken for those to the wrong requests. The connection still belongs to the calling code.
+    http::awaitable<upstream_exchange> exchange(connection_pointer connection,
+                                                std::shared_ptr<const http::request> message,
+                                                base::time_point deadline);
+
     /// Returns the pool of a replica; null when the last applied view does not contain it.
     std::shared_ptr<connection_pool> find_pool(const std::string& replica_name) const;
 
--- a/standins/upstream/behaviour.cpp
+++ b/standins/upstream/behaviour.cpp
@@ -156,6 +156,8 @@
     }
     if (name == "ignore_cancellation")
         return set_flag(ignores_cancellation, value);
+    if (name == "repeat_replies")
+        return set_flag(repeats_replies, value);
     if (name == "frozen")
         return set_flag(is_frozen, value);
     if (name == "faults")
--- a/standins/upstream/behaviour.hpp
+++ b/standins/upstream/behaviour.hpp
@@ -11,6 +11,7 @@
 //       "versions":{"7":["s0"],"8":["s0a"]},            replaces all versions
 //       "publish":{"version":8,"shards":["s0a"]},"drop":[7],
 //       "ignore_cancellation":true,                     continues after the connection is closed
+//       "repeat_replies":true,                          each reply again after the next request
 //       "frozen":true,                                  false also ends the faults "freeze"
 //       "faults":[{"kind":"<fault_kind>","probability":1,"count":3,"only":"search"|"command",
 //                  "delay_ms":500,"version":9}]}}       replaces all faults
@@ -139,6 +140,9 @@
     /// set.
     std::optional<double> request_limit;
     bool ignores_cancellation = false;
+    /// Whether each reply is sent a second time when the next request on its connection has
+    /// arrived, in front of the reply to that request.
+    bool repeats_replies = false;
     bool is_frozen = false;
     /// Overrides the state that GET /health reports, when set.
     std::optional<bool> reported_health;
--- a/standins/upstream/replica.cpp
+++ b/standins/upstream/replica.cpp
@@ -50,6 +50,8 @@
     // Number of the request on this connection; the disconnect watch of an earlier request is
     // ignored.
     std::uint64_t request_number = 0;
+    // The last reply, if it is to be sent again.
+    std::optional<http::response> repeated_reply;
     // Set when the request gets a slot or a freeze ends.
     bool may_proceed = false;
     bool is_peer_disconnected = false;
@@ -180,6 +182,9 @@
                                            asio::redirect_error(asio::use_awaitable, code));
     if (code)
         co_return false;
+    if (const auto copy = std::exchange(current_exchange->repeated_reply, std::nullopt))
+        co_await http::beast::http::async_write(current_exchange->socket, *copy,
+                                                asio::redirect_error(asio::use_awaitable, code));
     current_exchange->id = ++m_last_id;
     ++current_exchange->request_number;
     current_exchange->may_proceed = false;
@@ -385,6 +390,9 @@
         co_return false;
     boost::system::error_code code;
     http::response& reply = result.reply;
+    for (const char* name : {"X-Request-Id", "X-Sub-Request", "X-Shard"})
+        if (const std::string value = header(current_exchange.message, name); !value.empty())
+            reply.set(name, value);
     if (m_behaviour.is_draining())
         reply.set("X-Draining", "true");
     if (m_behaviour.request_limit)
@@ -404,6 +412,8 @@
     }
     co_await http::beast::http::async_write(current_exchange.socket, reply,
                                             asio::redirect_error(asio::use_awaitable, code));
+    if (m_behaviour.repeats_replies)
+        current_exchange.repeated_reply = reply;
     co_return !code && reply.keep_alive();
 }
 
@@ -504,13 +514,8 @@
         body = fmt::format(R"({{{},"index_version":{},"echo":{}}})", identity, version, echo);
 
     http::response reply = http::make_json_response(http::status::ok, std::move(body));
-    reply.set("X-Request-Id", request_id);
-    reply.set("X-Shard", shard);
     if (kind == request_kind::search)
-    {
-        reply.set("X-Sub-Request", header(message, "X-Sub-Request"));
         reply.set("X-Index-Version", std::to_string(version));
-    }
     return reply;
 }
 
--- a/tests/integration/at_most_once_test.cpp
+++ b/tests/integration/at_most_once_test.cpp
@@ -384,4 +384,24 @@
     EXPECT_EQ(m_cluster.executions(key), 1);
 }
 
+// Guards against a command that is reported as not run, and runs again when the caller repeats it,
+// because the upstream sent its refusal of an earlier command a second time.
+TEST_F(at_most_once_test, second_copy_of_a_refusal_makes_no_other_command_run_again)
+{
+    constexpr int rounds = 12;
+    constexpr int max_tries = 3;
+    for (int round = 0; round < rounds; ++round)
+    {
+        set_upstreams(
+            R"("repeat_replies":true,"faults":[{"kind":"shed","count":1,"only":"command"}])");
+        m_cluster.command(0, service, make_key(fmt::format("refused{}", round)), "hall 3");
+        const std::string key = make_key(fmt::format("next{}", round));
+        std::vector<test_reply> replies;
+        do
+            replies.push_back(m_cluster.command(0, service, key, "hall 3"));
+        while (outcome_of(replies.back()) == "not_run" && replies.size() < max_tries);
+        check_executions(key, replies);
+    }
+}
+
 } // namespace ospreystair::testing_support
