Query: Match refusals and failures of replicas by their ids

Seen by callers: a shard was missing, or asked a second time, with the reason of an earlier request, although its replica had answered.

Cause: upstream_client compared the ids of 200 only. A second copy of a refusal or failure was taken for the reply to the sub-request in flight, and the connection was kept, so that the true reply was read for the next sub-request.

Change: sub-requests use the same exchange as commands, which takes no reply that does not repeat the ids of its request, whatever its status, and closes the connection.

--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -196,28 +196,20 @@
     // Upstreams cancel a request when its connection is closed. Closing also keeps a late reply
     // from being read as the reply to the next request on this connection.
     cancel->on_cancel([active = *connection] { active->close(); });
-    http::exchange_progress progress{};
-    const auto reply =
-        co_await (*connection)
-            ->exchange(make_search_request(target, message, deadline), deadline, progress, reason);
+    const upstream_exchange ended =
+        co_await exchange(*connection, make_search_request(target, message, deadline), deadline);
     cancel->on_cancel(nullptr);
-    if (!reply)
-    {
-        // A replica that reset one connection has most likely stopped. Each idle connection that
-        // turns out to be dead later would cost another request an attempt.
-        if (reason.kind == base::error_kind::unreachable)
-            pool->close_idle();
-        pool->release(std::move(*connection));
-        co_return make_failure(cancel->is_cancelled() ? sub_result::cancelled
-                                                      : to_result(reason.kind),
-                               reason.kind, reason.message);
-    }
-    sub_reply result = check_reply(message, *reply);
-    // After a reply to another request, later replies on this connection can't be trusted either.
-    if (result.result == sub_result::mismatched)
-        (*connection)->close();
+    // A replica that reset one connection has most likely stopped. Each idle connection that turns
+    // out to be dead later would cost another request an attempt.
+    if (ended.reason.kind == base::error_kind::unreachable)
+        pool->close_idle();
     pool->release(std::move(*connection));
-    co_return result;
+    if (ended.reply)
+        co_return check_reply(message, *ended.reply);
+    const sub_result result =
+        ended.is_mismatched ? sub_result::mismatched : to_result(ended.reason.kind);
+    co_return make_failure(cancel->is_cancelled() ? sub_result::cancelled : result,
+                           ended.reason.kind, ended.reason.message);
 }
 
 http::awaitable<upstream_exchange>
@@ -244,7 +236,7 @@
     switch (reply.result())
     {
     case http::status::ok:
-        result = check_ids(message, reply);
+        result = check_answer(message, reply);
         break;
     case http::status::conflict:
         result =
@@ -273,21 +265,13 @@
             fmt::format("the replica answered with status {}; see its log", reply.result_int()));
     }
     result.is_draining = header(reply, "X-Draining") == "true";
-    result.is_complete = result.result != sub_result::mismatched;
+    result.is_complete = true;
     result.request_limit = find_request_limit(reply);
     return result;
 }
 
-sub_reply upstream_client::check_ids(const sub_request& message, const http::response& reply)
+sub_reply upstream_client::check_answer(const sub_request& message, const http::response& reply)
 {
-    if (header(reply, "X-Request-Id") != message.request_id ||
-        header(reply, "X-Sub-Request") != std::to_string(message.number) ||
-        header(reply, "X-Shard") != message.shard)
-    {
-        m_mismatched_count.add();
-        return make_failure(sub_result::mismatched, base::error_kind::protocol,
-                            "the reply repeats the ids of another request; it was dropped");
-    }
     if (header(reply, "X-Index-Version") != std::to_string(message.index_version))
     {
         m_wrong_version_count.add();
--- a/source/query/upstream_client.hpp
+++ b/source/query/upstream_client.hpp
@@ -70,7 +70,7 @@
     };
 
     sub_reply check_reply(const sub_request& message, const http::response& reply);
-    sub_reply check_ids(const sub_request& message, const http::response& reply);
+    sub_reply check_answer(const sub_request& message, const http::response& reply);
 
     http::asio::io_context& m_context;
     base::sharded_map<std::string, pool_entry> m_pools;
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -688,13 +688,14 @@
                                const std::string& body = R"({"echo":"x"})")
     {
         listen(
-            [=](const http::request& message,
-                std::shared_ptr<http::exchange_context>) -> http::awaitable<http::response>
+            [=, this](const http::request& message,
+                      std::shared_ptr<http::exchange_context>) -> http::awaitable<http::response>
             {
-                auto reply = http::make_json_response(http::status::ok, body);
+                auto reply = http::make_json_response(m_status, body);
                 for (const char* name :
                      {"X-Request-Id", "X-Sub-Request", "X-Shard", "X-Index-Version"})
-                    reply.set(name, message[name]);
+                    if (m_has_ids)
+                        reply.set(name, message[name]);
                 if (!changed_header.empty())
                     reply.set(changed_header, changed_value);
                 co_return reply;
@@ -721,10 +722,22 @@
         return run(work).get();
     }
 
+    // Connections to the replica that carry further requests.
+    std::size_t kept_connections() const { return m_client->find_pool("s0-r0")->open_count(); }
+
+    http::status m_status = http::status::ok;
+    bool m_has_ids = true;
     observe::metrics m_metrics;
     std::optional<upstream_client> m_client;
 };
 
+// Sends a sub-request that is answered with the given status.
+class reply_status_test : public reply_check_test, public testing::WithParamInterface<http::status>
+{
+protected:
+    reply_status_test() { m_status = GetParam(); }
+};
+
 // Guards against checks that reject valid replies.
 TEST_F(reply_check_test, reply_that_repeats_all_ids_is_accepted)
 {
@@ -761,6 +774,38 @@
     EXPECT_EQ(send_sub_request("", "", R"({"echo":"x")").result, sub_result::failed);
 }
 
+// Guards against a second refusal of an earlier request that is taken for the reply to this one,
+// and against a connection on which each later reply answers an earlier request.
+TEST_P(reply_status_test, reply_to_another_request_is_dropped_with_its_connection)
+{
+    EXPECT_EQ(send_sub_request("X-Request-Id", "vm-1-a-2").result, sub_result::mismatched);
+    EXPECT_EQ(kept_connections(), 0U);
+}
+TEST_P(reply_status_test, reply_to_another_attempt_is_dropped_with_its_connection)
+{
+    EXPECT_EQ(send_sub_request("X-Sub-Request", "1").result, sub_result::mismatched);
+    EXPECT_EQ(kept_connections(), 0U);
+}
+TEST_P(reply_status_test, reply_without_ids_is_dropped_with_its_connection)
+{
+    m_has_ids = false;
+    EXPECT_EQ(send_sub_request("", "").result, sub_result::mismatched);
+    EXPECT_EQ(kept_connections(), 0U);
+}
+// Guards against connections that are closed after each refusal.
+TEST_P(reply_status_test, reply_that_repeats_all_ids_keeps_the_connection)
+{
+    EXPECT_NE(send_sub_request("", "").result, sub_result::mismatched);
+    EXPECT_EQ(kept_connections(), 1U);
+}
+INSTANTIATE_TEST_SUITE_P(statuses, reply_status_test,
+                         testing::Values(http::status::ok, http::status::not_found,
+                                         http::status::conflict, http::status::misdirected_request,
+                                         http::status::too_many_requests,
+                                         http::status::internal_server_error,
+                                         http::status::service_unavailable,
+                                         http::status::gateway_timeout));
+
 // Guards against a store that exceeds its capacity or returns the record of another request.
 TEST(record_store_test, more_records_than_capacity_keeps_the_newest_within_the_bound)
 {
