Tests: Send requests whose ids read like status lines

Since a reply with a status line in the value of a field is malformed. Replicas echo the caller's id, so that a caller with an id such as "HTTP/1.1 200 a" is answered 502 after its request has run, and the connection ends.

--- a/tests/gateway/gateway_sending_test.cpp
+++ b/tests/gateway/gateway_sending_test.cpp
@@ -262,6 +262,25 @@
     return path == nullptr ? fleet_options{}.program : path;
 }
 
+/// Status of the answer to a read on a connection of its own. Reads the answer with Beast's own
+/// parser, which accepts any text in fields.
+unsigned read_status(const http::tcp::endpoint& address, const std::string& route,
+                     const std::string& id)
+{
+    http::asio::io_context context;
+    http::tcp::socket socket(context);
+    socket.connect(address);
+    boost::asio::write(socket, boost::asio::buffer(fmt::format(
+                                   "GET /{}/q HTTP/1.1\r\nHost: q.example\r\nRequest-Id: {}\r\n"
+                                   "Deadline-Ms: 1000\r\n\r\n",
+                                   route, id)));
+    boost::beast::flat_buffer buffer;
+    boost::beast::http::response<boost::beast::http::string_body> answer;
+    boost::system::error_code code;
+    boost::beast::http::read(socket, buffer, answer, code);
+    return code ? 0 : answer.result_int();
+}
+
 struct sending_options
 {
     fleet_options fleet = {};
@@ -604,6 +623,16 @@
             }
 }
 
+// Guards against requests that run and are answered 502, since their caller chose ids that read
+// like a status line and replicas echo them.
+TEST_F(gateway_sending_test, id_like_a_status_line_is_answered)
+{
+    for (int round = 0; round < 4; ++round)
+        EXPECT_EQ(read_status(m_fleet.fleet().caller_address(0), "num0",
+                              fmt::format("HTTP/1.1 200 {}", m_fleet.make_id())),
+                  ok_status);
+}
+
 // Guards against an answer that a frozen VM finds when it goes on, and takes for a later sending.
 TEST_F(gateway_sending_test, answers_that_arrive_while_the_vm_is_frozen_belong_to_their_attempts)
 {
--- a/tests/unit/http_stray_reply_test.cpp
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -406,6 +406,17 @@
     expect_answered(sending);
 }
 
+// Guards against a request whose replies are all refused, since its caller chose an id that reads
+// like a status line and replicas echo it.
+TEST_F(stray_reply_test, reply_that_echoes_an_id_like_a_status_line_is_delivered)
+{
+    const int sending = send("HTTP/1.1 200 a");
+    read_request();
+    write(make_reply("HTTP/1.1 200 a", sending));
+    expect_answered(sending);
+    EXPECT_TRUE(connection().is_free());
+}
+
 // Guards against a reply whose first half is read while nothing is in flight.
 TEST_F(stray_reply_test, copy_cut_by_next_request_is_dropped)
 {
