Tests: Send a second answer behind a reply without a length

Both are delivered as one body, with the status and the receipt of the first. Fails on: delivered "made for sending 2HTTP/1.1 200 Status...made for sending 2".

--- a/tests/unit/http_stray_reply_test.cpp
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -513,6 +513,20 @@
     expect_ended_without_reply(second);
 }
 
+// Guards against a body that has the request's own second answer behind it, since the reply has no
+// length and ends with its connection.
+TEST_F(stray_reply_test, second_answer_is_not_delivered_within_reply_without_length)
+{
+    exchange("a");
+    const int second = send("b");
+    read_request();
+    write(make_reply_without_length("b", second) + make_reply_without_length("b", second));
+    end_of_stream();
+    const delivered_result result = result_of(second);
+    EXPECT_TRUE(!result.has_reply || result.body == body_of(second))
+        << "delivered: " << result.body;
+}
+
 // Guards against an interim reply that is taken for the final one, or that makes the next reply
 // count for the request.
 TEST_F(stray_reply_test, interim_replies_before_copy_and_reply_are_dropped)
