Tests: Send an interim reply to a client connection

client_connection delivers the interim reply as the final one, and keeps the connection; the next exchange gets the final reply to the first request. Fails on: "103 ", "200 first" in place of "200 first", "200 second".

--- a/tests/unit/http_test.cpp
+++ b/tests/unit/http_test.cpp
@@ -490,4 +490,59 @@
     EXPECT_FALSE(result.is_open);
 }
 
+// Guards against an interim reply that is taken for the final one, which the next request on the
+// connection then takes for its own reply.
+TEST_F(client_connection_test, final_reply_behind_an_interim_one_does_not_answer_the_next_request)
+{
+    const auto make_reply = [](const std::string& body)
+    {
+        return fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{}", body.size(), body);
+    };
+    asio::io_context peer_context;
+    tcp::acceptor acceptor(peer_context, make_endpoint("127.0.0.1", 0));
+    std::thread peer(
+        [&]
+        {
+            tcp::socket socket = acceptor.accept();
+            std::array<char, 4096> buffer{};
+            boost::system::error_code ignored;
+            socket.read_some(asio::buffer(buffer), ignored);
+            asio::write(socket, asio::buffer(std::string("HTTP/1.1 103 Early Hints\r\n\r\n")),
+                        ignored);
+            std::this_thread::sleep_for(50ms);
+            asio::write(socket, asio::buffer(make_reply("first")), ignored);
+            socket.read_some(asio::buffer(buffer), ignored);
+            asio::write(socket, asio::buffer(make_reply("second")), ignored);
+            socket.read_some(asio::buffer(buffer), ignored);
+        });
+    std::vector<std::string> bodies;
+    asio::io_context context;
+    const auto run_exchanges = [&]() -> awaitable<void>
+    {
+        const auto deadline = std::chrono::steady_clock::now() + 5s;
+        base::error reason;
+        auto connection = co_await client_connection::connect(context, acceptor.local_endpoint(),
+                                                              deadline, reason);
+        if (!connection)
+            co_return;
+        for (int index = 0; index < 2; ++index)
+        {
+            auto message = std::make_shared<request>(verb::get, "/", 11);
+            exchange_progress progress{};
+            const auto reply =
+                co_await (*connection)->exchange(message, deadline, progress, reason);
+            bodies.push_back(reply ? fmt::format("{} {}", reply->result_int(), reply->body())
+                                   : "none");
+            asio::steady_timer timer(context, 100ms);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
+        (*connection)->close();
+    };
+    asio::co_spawn(context, run_exchanges, asio::detached);
+    context.run();
+    peer.join();
+    const std::vector<std::string> expected{"200 first", "200 second"};
+    EXPECT_EQ(bodies, expected);
+}
+
 } // namespace ospreystair::http
