Tests: Log an answer behind many dropped replies

A VM logs 60 lines a second of this level. Since each dropped reply is one of them, so that replicas that answer each request twice leave no room for attempt_failed, hedge and answer lines.

--- a/tests/unit/platform_reporter_test.cpp
+++ b/tests/unit/platform_reporter_test.cpp
@@ -95,5 +95,23 @@
     EXPECT_EQ(text.find("receipt s.8"), std::string::npos) << text;
 }
 
+// Guards against a log without the answers and failed attempts of a VM whose replicas answer twice.
+TEST_F(event_reporter_test, dropped_replies_leave_room_for_other_lines)
+{
+    forwarding::registration entry;
+    entry.id = "r-7";
+    entry.service = "s";
+    const forwarding::replica target(entry, {});
+    for (int index = 0; index < 1'000; ++index)
+    {
+        m_reporter.on_reply_dropped(target, 31, {200, "id-0", "id-1"});
+        m_log.flush();
+        if (index % 20 == 0)
+            logged();
+    }
+    report(make_relayed(2));
+    EXPECT_NE(logged().find("r-7 sending 2 connection 31 receipt r-7.1"), std::string::npos);
+}
+
 } // namespace
 } // namespace ospreystair::platform
