Tests: Send an id again behind 700 other requests

sent_ids forgets an id after 512 others, which "take longer than callers wait" where each takes 10 ms.

--- a/tests/gateway/gateway_sending_test.cpp
+++ b/tests/gateway/gateway_sending_test.cpp
@@ -633,6 +633,38 @@
                   ok_status);
 }
 
+// Guards against a late copy of the first answer that ends the repeated request, after so many
+// others that the connection no longer knows the id.
+TEST_F(gateway_sending_test, copy_behind_many_requests_does_not_end_the_repeated_one)
+{
+    constexpr int others = 700;
+    constexpr milliseconds copy_delay{2400};
+    const std::string id = m_fleet.make_id();
+    m_fleet.replicas().plan(
+        [id, copy_delay](const numbered_sending& sending)
+        {
+            reply_plan result;
+            result.latency = 0ms;
+            if (sending.request_id == id && sending.order == 0)
+                result.copies = {copy_delay};
+            // Under way when the copy arrives.
+            if (sending.request_id == id && sending.order > 0)
+                result.latency = 700ms;
+            return result;
+        });
+    const auto begin = std::chrono::steady_clock::now();
+    EXPECT_EQ(m_fleet.send(0, "num0", id, 1000ms).status, ok_status);
+    for (int index = 0; index < others; ++index)
+    {
+        caller_message message;
+        message.path = "/num0/q";
+        message.id = m_fleet.make_id();
+        m_fleet.fleet().send(0, message);
+    }
+    std::this_thread::sleep_until(begin + copy_delay - 300ms);
+    EXPECT_EQ(m_fleet.send(0, "num0", id, 1000ms).status, ok_status);
+}
+
 // Guards against an answer that a frozen VM finds when it goes on, and takes for a later sending.
 TEST_F(gateway_sending_test, answers_that_arrive_while_the_vm_is_frozen_belong_to_their_attempts)
 {
