--- a/tests/unit/http_stray_reply_test.cpp
+++ b/tests/unit/http_stray_reply_test.cpp
@@ -406,6 +406,17 @@
     expect_answered(sending);
 }
 
+// Guards against a request whose replies are all refused, since its caller chose an id that reads
+// like a status line and replicas echo it.
+TEST_F(stray_reply_test, reply_that_echoes_an_id_like_a_status_line_is_delivered)
+{
+    const int sending = send("HTTP/1.1 200 a");
+    read_request();
+    write(make_reply("HTTP/1.1 200 a", sending));
+    expect_answered(sending);
+    EXPECT_TRUE(connection().is_free());
+}
+
 // Guards against a reply whose first half is read while nothing is in flight.
 TEST_F(stray_reply_test, copy_cut_by_next_request_is_dropped)
 {
@@ -502,6 +513,20 @@
     expect_ended_without_reply(second);
 }
 
+// Guards against a body that has the request's own second answer behind it, since the reply has no
+// length and ends with its connection.
+TEST_F(stray_reply_test, second_answer_is_not_delivered_within_reply_without_length)
+{
+    exchange("a");
+    const int second = send("b");
+    read_request();
+    write(make_reply_without_length("b", second) + make_reply_without_length("b", second));
+    end_of_stream();
+    const delivered_result result = result_of(second);
+    EXPECT_TRUE(!result.has_reply || result.body == body_of(second))
+        << "delivered: " << result.body;
+}
+
 // Guards against an interim reply that is taken for the final one, or that makes the next reply
 // count for the request.
 TEST_F(stray_reply_test, interim_replies_before_copy_and_reply_are_dropped)
