--- a/tests/gateway/gateway_crash_test.cpp
+++ b/tests/gateway/gateway_crash_test.cpp
@@ -1,9 +1,11 @@
 // Requests that crash each replica that begins to run them.
 
 #include <algorithm>
+#include <csignal>
 #include <string>
 #include <thread>
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 
 #include "tests/gateway/platform_fleet.hpp"
@@ -167,5 +169,23 @@
     expect_served("/all/innocent");
 }
 
+// Guards against a VM that is not ready for long because it waits for what silent VMs know.
+TEST_F(gateway_crash_test, started_vm_is_ready_soon_although_most_others_are_silent)
+{
+    // Connections are accepted by the system, and never answered.
+    http::asio::io_context context;
+    const http::tcp::acceptor silent(context, {http::asio::ip::make_address("127.0.0.1"), 0});
+    Json::Value entry;
+    entry["data_centre"] = "a";
+    entry["relay_address"] = fmt::format("127.0.0.1:{}", silent.local_endpoint().port());
+    // The VMs that read the store come first in the list.
+    for (int index = 0; index < 60; ++index)
+        m_fleet.store().put("ospreystair-vms", fmt::format("z{}", index), entry);
+    m_fleet.vm(0).process->send_signal(SIGKILL);
+    m_fleet.start(0);
+    EXPECT_TRUE(wait_until(2'500ms, [this] { return m_fleet.readiness(0) == 200U; }))
+        << m_fleet.log(0);
+}
+
 } // namespace
 } // namespace ospreystair::testing_support
