Routing: Tell evidence from none when replicas crash twice under a request

A VM that started could not learn of a request under which the same replicas had crashed in two trials, and ran it.

Cause: the digest of the evidence combined a hash for each crash, from request and replica only, by exclusive or. Two crashes of one replica (more than two seconds apart, else they are one) cancelled each other. When all replicas had crashed twice, as in a service with two of them, the digest was 0, like that of a VM without evidence: that VM's question was answered without reports, and VMs with such evidence started no comparison either.

Change: the hashes are added up. Messages are the same.

--- a/source/routing/crash_ledger.cpp
+++ b/source/routing/crash_ledger.cpp
@@ -287,10 +287,11 @@
 
 std::uint64_t crash_ledger::digest() const
 {
+    // A sum, since a replica may have crashed twice. Not the times, which VMs notice differently.
     std::uint64_t result = 0;
     for (const auto& [request, entry] : m_requests)
         for (const replica_crash& crash : entry.crashes)
-            result ^= base::mix_bits(request.low ^ crash.replica);
+            result += base::mix_bits(request.low ^ crash.replica);
     return result;
 }
 
--- a/source/routing/crash_ledger.hpp
+++ b/source/routing/crash_ledger.hpp
@@ -121,7 +121,7 @@
     bool has_changes() const { return !m_changed.empty(); }
     /// Returns up to `limit` reports, those with the most crashes first.
     std::vector<crash_report> reports(std::size_t limit) const;
-    /// Equal on VMs that know of the same crashes.
+    /// Equal on VMs that know of the same crashes; 0 without any.
     std::uint64_t digest() const;
 
     void remove_expired(base::time_point now);
--- a/tests/unit/routing_crash_test.cpp
+++ b/tests/unit/routing_crash_test.cpp
@@ -141,6 +141,19 @@
     EXPECT_TRUE(other.has_changes());
 }
 
+// Guards against a VM that takes another one's evidence for its own empty ledger.
+TEST_F(crash_ledger_test, digest_differs_from_that_of_no_evidence_when_replicas_crash_again)
+{
+    for (const unsigned trial : {1U, 2U})
+    {
+        for (const std::uint64_t replica : {1U, 2U})
+            m_ledger.record_crash(deadly, {replica, m_now, m_now + 10ms});
+        EXPECT_NE(m_ledger.digest(), crash_ledger(8).digest()) << "trial " << trial;
+        m_now += 2 * crash_ledger::same_crash_margin;
+    }
+    EXPECT_EQ(verdict(), crash_verdict::condemned);
+}
+
 TEST_F(crash_ledger_test, answer_that_another_vm_reports_clears_older_crashes)
 {
     condemn(deadly);
