Http: Forget an id on a connection only after ten seconds

What callers saw: a request that was sent again got 502, or the end of an attempt that another reply had ended, when a connection had carried more than 512 other requests since the first sending. The review showed it with a real gateway: 700 requests on one connection took 311 ms, while callers wait for a second.

Cause: sent_ids kept the last 512 ids, on the ground that a request takes 10 ms. One that is answered at once takes half a millisecond.

Change: an id is forgotten only when it is ten seconds old and 512 others are known.

--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -97,7 +97,7 @@
 void upstream_connection::send(upstream_request message, result_handler on_result)
 {
     m_message = std::make_shared<upstream_request>(std::move(message));
-    m_sent_ids.add(m_message->id);
+    m_sent_ids.add(m_message->id, std::chrono::steady_clock::now());
     m_on_result = std::move(on_result);
     m_progress = exchange_progress::nothing_sent;
     if (m_state == state::open)
