Http: Read the final reply behind an interim one

What callers saw: nothing yet; found by the review. A client connection took an interim reply (103) for the answer and stayed open, so that the final reply answered the next request on it. The product's entries and the clients of the store use these connections.

Cause: Beast's parser ends after each message, and an interim reply is one. `upstream_connection` has always read on.

Change: interim replies are passed over, at most 16 in a row. A field may repeat what stands in the request, as on connections to replicas.

client_connection_test.final_reply_behind_an_interim_one_does_not_answer_the_next_request failed before; the 19 tests of http_test pass.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -17,12 +17,22 @@
 namespace
 {
 
-bool continues_other_reply(const response& reply)
+// Whether a value stands in the request, too.
+bool is_echo(std::string_view value, const request& message)
+{
+    return std::any_of(message.begin(), message.end(),
+                       [value](const auto& item) { return to_view(item.value()) == value; });
+}
+
+bool continues_other_reply(const response& reply, const request& message)
 {
     return contains_status_line(to_view(reply.reason())) ||
            std::any_of(reply.begin(), reply.end(),
-                       [](const auto& item)
-                       { return contains_status_line(to_view(item.value())); });
+                       [&message](const auto& item)
+                       {
+                           const std::string_view value = to_view(item.value());
+                           return contains_status_line(value) && !is_echo(value, message);
+                       });
 }
 
 } // namespace
@@ -102,15 +112,13 @@
     co_await beast::http::async_write(m_stream, *message,
                                       asio::redirect_error(asio::use_awaitable, code));
     std::string_view operation = "send";
-    beast::http::response_parser<beast::http::string_body> parser;
-    parser.body_limit(max_reply_bytes);
+    std::optional<response> reply;
     if (!code)
     {
         operation = "receive";
-        co_await beast::http::async_read(m_stream, m_buffer, parser,
-                                         asio::redirect_error(asio::use_awaitable, code));
+        reply = co_await read_final_reply(code);
     }
-    if (!code && continues_other_reply(parser.get()))
+    if (!code && continues_other_reply(*reply, *message))
         code = beast::http::error::bad_value;
     if (code)
     {
@@ -120,13 +128,31 @@
     }
     m_stream.expires_never();
     result.progress = exchange_progress::answered;
-    result.reply = parser.release();
+    result.reply = std::move(reply);
     // Bytes after the reply belong to no request; a later request would take them for its reply.
     if (!result.reply->keep_alive() || m_buffer.size() != 0)
         close_on_strand();
     co_return result;
 }
 
+awaitable<response> client_connection::read_final_reply(boost::system::error_code& code)
+{
+    constexpr unsigned max_interim_replies = 16;
+    for (unsigned count = 0; count <= max_interim_replies; ++count)
+    {
+        beast::http::response_parser<beast::http::string_body> parser;
+        parser.body_limit(max_reply_bytes);
+        co_await beast::http::async_read(m_stream, m_buffer, parser,
+                                         asio::redirect_error(asio::use_awaitable, code));
+        // An interim (1xx) reply is followed by the final one.
+        if (code || beast::http::to_status_class(parser.get().result_int()) !=
+                        beast::http::status_class::informational)
+            co_return parser.release();
+    }
+    code = beast::http::error::bad_status;
+    co_return response{};
+}
+
 awaitable<bool> client_connection::is_closed_by_peer()
 {
     // A named lambda, because GCC 12 destroys the captures of a temporary in a co_await expression
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -64,6 +64,8 @@
     explicit client_connection(asio::io_context& context);
     awaitable<exchange_result> exchange_on_strand(std::shared_ptr<const request> message,
                                                   std::chrono::steady_clock::time_point deadline);
+    // Reads replies until one is no interim (1xx) reply.
+    awaitable<response> read_final_reply(boost::system::error_code& code);
     base::error describe_failure(boost::system::error_code code, std::string_view operation) const;
     void close_on_strand();
 
