Http: Take no reply that has the request's own second answer in its body

What callers saw: a body with a second copy of the answer behind it, head and all, with status 200.

Cause: a reply without a length ends with its connection. When the replica answers twice and closes the connection then, both answers are one reply by HTTP.

Change: a reply without a length whose body has a status line and the id of the request is malformed, and the request ends as one that may have run. Replies with a length are read as before.

--- a/source/http/reply_parser.hpp
+++ b/source/http/reply_parser.hpp
@@ -64,7 +64,7 @@
     /// Returns the value of a field, whose name is compared case-insensitively; empty when there is
     /// none.
     std::string_view find(std::string_view name) const;
-    std::size_t body_size() const { return m_body.size(); }
+    std::string_view body() const { return m_body; }
     std::string take_body() { return std::move(m_body); }
 
 private:
--- a/source/http/upstream_connection.cpp
+++ b/source/http/upstream_connection.cpp
@@ -183,13 +183,17 @@
         }
         // A reply without a length ends with the connection.
         if (!code && is_end_of_stream && m_parser->got_some() && !m_parser->is_done())
+        {
             m_parser->put_eof(code);
+            if (!code && has_second_reply_in_body())
+                code = beast::http::error::bad_value;
+        }
         if (code)
         {
             fail(fmt::format("the reply is malformed: {}", code.message()));
             return false;
         }
-        if (!count_reply_bytes(m_parser->body_size()))
+        if (!count_reply_bytes(m_parser->body().size()))
         {
             fail("the replies in progress take too much memory");
             return false;
@@ -206,6 +210,13 @@
     return false;
 }
 
+bool upstream_connection::has_second_reply_in_body() const
+{
+    const std::string_view body = m_parser->body();
+    return m_message && !m_message->id.empty() && body.find(m_message->id) != body.npos &&
+           contains_status_line(body);
+}
+
 bool upstream_connection::count_reply_bytes(std::size_t size)
 {
     if (!m_options.memory || size == m_counted_bytes)
--- a/source/http/upstream_connection.hpp
+++ b/source/http/upstream_connection.hpp
@@ -150,6 +150,9 @@
     void on_read(const boost::system::error_code& code);
     // Parses the bytes received so far. Returns whether the connection is still open.
     bool parse(bool is_end_of_stream);
+    // Whether the reply, which has no length, seems to have another reply to the request in flight
+    // behind it.
+    bool has_second_reply_in_body() const;
     void on_reply();
     // Tells the parser what the reply to the request in flight may look like.
     void prepare_parser();
