Tests: End what is in flight when a test of started VMs ends

Change: the fixture stops its servers, cancels the wait of the silent one, and runs the context for 50 ms before it is destroyed.

Result: platform_crash_test (10) passes 3 of 3 times under the address and undefined-behaviour sanitizers, and 3 of 3 without.

--- a/tests/unit/platform_crash_test.cpp
+++ b/tests/unit/platform_crash_test.cpp
@@ -90,6 +90,18 @@
 protected:
     static constexpr std::chrono::milliseconds max_wait = 2 * crash_exchange::exchange_timeout;
 
+    // Ends what is in flight, which would not be freed otherwise.
+    ~new_vm_test() override
+    {
+        m_silence.cancel();
+        for (const auto& server : m_servers)
+        {
+            server->stop_accepting();
+            server->abort_connections();
+        }
+        m_context.run_for(50ms);
+    }
+
     void add_other(http::handler_function answer)
     {
         base::error reason;
@@ -140,8 +152,9 @@
 
     http::awaitable<http::response> stay_silent()
     {
-        http::asio::steady_timer timer(m_context, 10s);
-        co_await timer.async_wait(http::asio::use_awaitable);
+        boost::system::error_code ignored;
+        co_await m_silence.async_wait(
+            http::asio::redirect_error(http::asio::use_awaitable, ignored));
         co_return http::response{};
     }
 
@@ -155,6 +168,7 @@
     }
 
     http::asio::io_context m_context;
+    http::asio::steady_timer m_silence{m_context, 10s};
     base::sampled_clock m_clock;
     base::seeded_random m_random{1};
     observe::json_log m_log{STDERR_FILENO, "new", "a", {}, observe::log_level::error};
