Query: Send nothing on a connection with bytes that answer no request

Seen by callers: a shard was missing after the whole deadline although its replica had answered.

Cause: a sub-request went to a connection on which the first part of a late second reply had arrived, and its answer was read as the rest of that part. Only commands looked for such bytes. The ids do not help, because the answer is never seen as a reply of its own.

Change: the connections of connection_pool refuse to send when bytes have arrived since the last exchange (stray_bytes::refuse). The connection is closed, nothing was sent, and the sub-request takes another one. The check is one recv(MSG_PEEK) in the exchange, without a further switch of the strand; its cost was not measured. All other users of client_connection, the gateway's store client among them, keep stray_bytes::read, the behaviour until now.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -37,16 +37,17 @@
 
 } // namespace
 
-client_connection::client_connection(asio::io_context& context)
-    : m_stream(asio::make_strand(context)), m_buffer(max_unparsed_bytes)
+client_connection::client_connection(asio::io_context& context, stray_bytes stray)
+    : m_stray(stray), m_stream(asio::make_strand(context)), m_buffer(max_unparsed_bytes)
 {
 }
 
 awaitable<std::optional<std::shared_ptr<client_connection>>>
 client_connection::connect(asio::io_context& context, tcp::endpoint address,
-                           std::chrono::steady_clock::time_point deadline, base::error& reason)
+                           std::chrono::steady_clock::time_point deadline, base::error& reason,
+                           stray_bytes stray)
 {
-    std::shared_ptr<client_connection> result(new client_connection(context));
+    std::shared_ptr<client_connection> result(new client_connection(context, stray));
     result->m_address = address;
     const auto connect_on_strand = [result, address,
                                     deadline]() -> awaitable<boost::system::error_code>
@@ -105,6 +106,17 @@
                          {}};
         co_return result;
     }
+    // A first reply that came before its request is read, so that a peer that always sends one does
+    // not make each connection useless.
+    if (m_stray == stray_bytes::refuse && std::exchange(m_is_used, true) && has_unread_bytes())
+    {
+        close_on_strand();
+        result.reason = {base::error_kind::unreachable,
+                         "bytes that answer no request have arrived, and the connection was "
+                         "closed; use another connection",
+                         {}};
+        co_return result;
+    }
     boost::system::error_code code;
     m_stream.expires_at(deadline);
     // Set before the write, because a failed write may still have delivered bytes.
@@ -153,6 +165,14 @@
     co_return response{};
 }
 
+bool client_connection::has_unread_bytes()
+{
+    char byte = 0;
+    boost::system::error_code code;
+    m_stream.socket().non_blocking(true, code);
+    return m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, code) > 0;
+}
+
 awaitable<bool> client_connection::is_closed_by_peer()
 {
     // A named lambda, because GCC 12 destroys the captures of a temporary in a co_await expression
--- a/source/http/client_connection.hpp
+++ b/source/http/client_connection.hpp
@@ -22,6 +22,13 @@
     answered      ///< The complete reply arrived.
 };
 
+/// What a connection does when bytes that answer no request arrive between two requests.
+enum class stray_bytes
+{
+    read,  ///< The next exchange reads them as the beginning of its reply.
+    refuse ///< The next exchange sends nothing, closes the connection and fails with unreachable.
+};
+
 /// A connection that carries one request at a time. The stream is used on its own strand only, so
 /// that any thread can call any member.
 class client_connection : public std::enable_shared_from_this<client_connection>
@@ -35,7 +42,8 @@
     /// Connects before `deadline`. Fails with unreachable or timeout.
     static awaitable<std::optional<std::shared_ptr<client_connection>>>
     connect(asio::io_context& context, tcp::endpoint address,
-            std::chrono::steady_clock::time_point deadline, base::error& reason);
+            std::chrono::steady_clock::time_point deadline, base::error& reason,
+            stray_bytes stray = stray_bytes::read);
 
     /// Sends a request and reads its reply. After a failure, and after a reply with
     /// `Connection: close`, the connection is closed. `progress` is set in each case.
@@ -61,7 +69,8 @@
         base::error reason;
     };
 
-    explicit client_connection(asio::io_context& context);
+    client_connection(asio::io_context& context, stray_bytes stray);
+    bool has_unread_bytes();
     awaitable<exchange_result> exchange_on_strand(std::shared_ptr<const request> message,
                                                   std::chrono::steady_clock::time_point deadline);
     // Reads replies until one is no interim (1xx) reply.
@@ -69,8 +78,11 @@
     base::error describe_failure(boost::system::error_code code, std::string_view operation) const;
     void close_on_strand();
 
+    const stray_bytes m_stray;
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
+    // Whether a request was sent, which a late second reply can belong to.
+    bool m_is_used = false;
     tcp::endpoint m_address;
     std::atomic<bool> m_is_open{false};
     std::atomic<bool> m_is_cancelled{false};
--- a/source/query/connection_pool.cpp
+++ b/source/query/connection_pool.cpp
@@ -125,8 +125,8 @@
 http::awaitable<std::optional<connection_pointer>>
 connection_pool::connect(base::time_point deadline, base::error& reason)
 {
-    auto connection =
-        co_await http::client_connection::connect(m_context, m_address, deadline, reason);
+    auto connection = co_await http::client_connection::connect(m_context, m_address, deadline,
+                                                                reason, http::stray_bytes::refuse);
     if (!connection)
         release_unopened();
     co_return connection;
--- a/source/query/upstream_client.cpp
+++ b/source/query/upstream_client.cpp
@@ -180,30 +180,35 @@
             sub_result::unreachable, base::error_kind::not_found,
             fmt::format("replica \"{}\" is not in the configuration any more; try again",
                         target.name));
-    base::error reason;
-    auto connection = co_await pool->acquire(deadline, cancel, reason);
-    if (!connection)
-    {
-        sub_reply refused = make_failure(to_result(reason.kind), reason.kind, reason.message);
-        refused.is_unsent = refused.result == sub_result::unreachable;
-        co_return refused;
-    }
-    if (cancel->is_cancelled())
+    upstream_exchange ended;
+    // A connection that cannot be used is closed, and the pool gives another one.
+    while (ended.progress == http::exchange_progress::nothing_sent)
     {
+        base::error reason;
+        auto connection = co_await pool->acquire(deadline, cancel, reason);
+        if (!connection)
+        {
+            sub_reply refused = make_failure(to_result(reason.kind), reason.kind, reason.message);
+            refused.is_unsent = refused.result == sub_result::unreachable;
+            co_return refused;
+        }
+        if (cancel->is_cancelled())
+        {
+            pool->release(std::move(*connection));
+            co_return make_failure(sub_result::cancelled, base::error_kind::cancelled, {});
+        }
+        // Upstreams cancel a request when its connection is closed. Closing also keeps a late reply
+        // from being read as the reply to the next request on this connection.
+        cancel->on_cancel([active = *connection] { active->close(); });
+        ended = co_await exchange(*connection, make_search_request(target, message, deadline),
+                                  deadline);
+        cancel->on_cancel(nullptr);
         pool->release(std::move(*connection));
-        co_return make_failure(sub_result::cancelled, base::error_kind::cancelled, {});
     }
-    // Upstreams cancel a request when its connection is closed. Closing also keeps a late reply
-    // from being read as the reply to the next request on this connection.
-    cancel->on_cancel([active = *connection] { active->close(); });
-    const upstream_exchange ended =
-        co_await exchange(*connection, make_search_request(target, message, deadline), deadline);
-    cancel->on_cancel(nullptr);
     // A replica that reset one connection has most likely stopped. Each idle connection that turns
     // out to be dead later would cost another request an attempt.
     if (ended.reason.kind == base::error_kind::unreachable)
         pool->close_idle();
-    pool->release(std::move(*connection));
     if (ended.reply)
         co_return check_reply(message, *ended.reply);
     const sub_result result =
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -8,6 +8,7 @@
 #include <thread>
 
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -806,6 +807,108 @@
                                          http::status::service_unavailable,
                                          http::status::gateway_timeout));
 
+// A replica that answers each sub-request, and sends the first part of a second copy of its first
+// reply when the connection is idle.
+class cut_copy_test : public loopback_test
+{
+protected:
+    cut_copy_test() : m_acceptor(m_context, http::make_endpoint("127.0.0.1", 0))
+    {
+        for (int number = 0; number < 3; ++number)
+            m_threads.emplace_back([this] { m_context.run(); });
+        asio::co_spawn(
+            m_context, [this] { return accept_connections(); }, asio::detached);
+        m_view->configuration.services["portal"].shards[0].replicas[0].address = {
+            "127.0.0.1", m_acceptor.local_endpoint().port()};
+        m_client.apply(*m_view, [](const configuration::replica&) { return 1; });
+    }
+
+    void TearDown() override
+    {
+        m_client.find_pool("s0-r0")->close();
+        asio::post(m_acceptor.get_executor(), [this] { m_acceptor.close(); });
+        loopback_test::TearDown();
+    }
+
+    sub_reply send(std::uint32_t number)
+    {
+        const sub_request message{"vm-1-a-1", number, "s0", 7,
+                                  std::make_shared<const std::string>("x")};
+        const auto work = [&]() -> http::awaitable<sub_reply>
+        {
+            co_return co_await m_client.send(
+                m_view->configuration.services["portal"].shards[0].replicas[0], message,
+                std::chrono::steady_clock::now() + 2s, std::make_shared<cancellation>());
+        };
+        return run(work).get();
+    }
+
+    void wait_for_copy() { m_copy_sent.get_future().wait(); }
+
+private:
+    http::awaitable<void> accept_connections()
+    {
+        boost::system::error_code code;
+        for (bool is_first = true;; is_first = false)
+        {
+            http::tcp::socket socket =
+                co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, code));
+            if (code)
+                co_return;
+            asio::co_spawn(
+                m_context,
+                [this, is_first, socket = std::move(socket)]() mutable
+                { return serve(std::move(socket), is_first); },
+                asio::detached);
+        }
+    }
+
+    http::awaitable<void> serve(http::tcp::socket socket, bool sends_copy)
+    {
+        boost::system::error_code code;
+        http::beast::flat_buffer buffer;
+        for (;;)
+        {
+            http::request message;
+            co_await http::beast::http::async_read(socket, buffer, message,
+                                                   asio::redirect_error(asio::use_awaitable, code));
+            if (code)
+                co_return;
+            auto reply = http::make_json_response(http::status::ok, R"({"echo":"x"})");
+            for (const char* name : {"X-Request-Id", "X-Sub-Request", "X-Shard", "X-Index-Version"})
+                reply.set(name, message[name]);
+            reply.prepare_payload();
+            co_await http::beast::http::async_write(
+                socket, reply, asio::redirect_error(asio::use_awaitable, code));
+            if (!std::exchange(sends_copy, false))
+                continue;
+            asio::steady_timer timer(m_context, 50ms);
+            co_await timer.async_wait(asio::use_awaitable);
+            const std::string copy = "HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n{";
+            co_await asio::async_write(socket, asio::buffer(copy),
+                                       asio::redirect_error(asio::use_awaitable, code));
+            m_copy_sent.set_value();
+        }
+    }
+
+    std::shared_ptr<configuration::view> m_view = make_view({"s0"}, 1);
+    observe::metrics m_metrics;
+    http::tcp::acceptor m_acceptor;
+    upstream_client m_client{m_context, m_metrics};
+    std::promise<void> m_copy_sent;
+};
+
+// Guards against an answer that is read as the rest of a copy that was cut off, so that its shard
+// is missing.
+TEST_F(cut_copy_test, connection_with_a_part_of_a_copy_carries_no_further_request)
+{
+    ASSERT_EQ(send(1).result, sub_result::answered);
+    wait_for_copy();
+    const sub_reply second = send(2);
+    EXPECT_EQ(second.result, sub_result::answered)
+        << to_string(second.result) << ": " << second.reason.message;
+}
+
 // Guards against a store that exceeds its capacity or returns the record of another request.
 TEST(record_store_test, more_records_than_capacity_keeps_the_newest_within_the_bound)
 {
