Objects: Take no second answer for that to the next write

No caller has reported it and no platform was seen to answer twice.

Cause: the object store's client sent a request on a kept connection without looking for bytes that had arrived meanwhile. A second copy of the 200 to one write was taken for the answer to the next, which the platform had not read: a claim that another VM held would have counted as won, and its command run twice.

Change: its connections refuse to send when bytes have arrived between requests (stray_bytes::refuse, as those to replicas), and a request of which nothing was sent goes on a new connection, writes too.

The gateway does not use this client.

--- a/source/objects/http_object_store.cpp
+++ b/source/objects/http_object_store.cpp
@@ -291,9 +291,10 @@
     if (!connection)
         co_return std::nullopt;
     auto reply = co_await connection->exchange(shared_message, deadline, progress, reason);
-    // The platform may have closed the idle connection meanwhile. A read can be sent again, because
-    // it changes nothing; a write cannot.
-    if (!reply && is_reused && is_read && reason.kind == base::error_kind::unreachable)
+    // The platform may have closed the idle connection meanwhile, or sent a reply a second time. A
+    // read can be sent again, because it changes nothing; a write only if nothing of it was sent.
+    const bool may_send_again = is_read || progress == http::exchange_progress::nothing_sent;
+    if (!reply && is_reused && may_send_again && reason.kind == base::error_kind::unreachable)
     {
         connection = co_await connect(deadline, reason);
         if (!connection)
@@ -317,8 +318,8 @@
         const auto now = std::chrono::steady_clock::now();
         const auto timeout = (deadline - now) / static_cast<int>(m_addresses.size() - attempt);
         const std::size_t index = (first_index + attempt) % m_addresses.size();
-        const auto opened = co_await http::client_connection::connect(m_context, m_addresses[index],
-                                                                      now + timeout, reason);
+        const auto opened = co_await http::client_connection::connect(
+            m_context, m_addresses[index], now + timeout, reason, http::stray_bytes::refuse);
         if (!opened)
             continue;
         m_preferred_index.store(index);
--- a/tests/unit/platformstandin_test.cpp
+++ b/tests/unit/platformstandin_test.cpp
@@ -1,7 +1,9 @@
 // Tests of the object store client against the platform stand-in. ctest-label: concurrent
 
+#include <future>
 #include <thread>
 
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <json/json.h>
 #include <rapidcheck/gtest.h>
@@ -185,6 +187,48 @@
     EXPECT_FALSE(http_object_store::create(m_context, {}, m_reason));
 }
 
+// Guards against a write that is reported as applied because the platform answered an earlier one
+// twice, such as a claim that another VM holds.
+TEST_F(http_object_store_test, second_answer_to_one_write_is_not_taken_for_that_to_the_next)
+{
+    const std::string applied = "HTTP/1.1 200 OK\r\nETag: \"7\"\r\nContent-Length: 0\r\n\r\n";
+    const std::string conflict = "HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n";
+    http::asio::io_context peer_context;
+    http::tcp::acceptor acceptor(peer_context, http::make_endpoint("127.0.0.1", 0));
+    std::promise<void> is_answered;
+    std::promise<void> is_repeated;
+    std::thread peer(
+        [&]
+        {
+            boost::system::error_code ignored;
+            const auto answer = [&](http::tcp::socket& socket, const std::string& reply)
+            {
+                http::beast::flat_buffer buffer;
+                http::request message;
+                http::beast::http::read(socket, buffer, message, ignored);
+                http::asio::write(socket, http::asio::buffer(reply), ignored);
+            };
+            http::tcp::socket first = acceptor.accept();
+            answer(first, applied);
+            is_answered.get_future().wait();
+            http::asio::write(first, http::asio::buffer(applied), ignored);
+            is_repeated.set_value();
+            http::tcp::socket second = acceptor.accept();
+            answer(second, conflict);
+        });
+    m_store = *http_object_store::create(
+        m_context, {{"127.0.0.1", acceptor.local_endpoint().port()}}, m_reason);
+    EXPECT_EQ(write("k", "1", 6), write_status::applied);
+    is_answered.set_value();
+    is_repeated.get_future().wait();
+    EXPECT_EQ(write("other", "1", 3), write_status::conflict);
+    // Ends the peer's wait for a second connection.
+    http::tcp::socket last(m_context);
+    last.connect(acceptor.local_endpoint());
+    last.close();
+    peer.join();
+}
+
 // Guards against reads that fail, and writes that are reported as refused, when the platform has
 // closed a persistent connection.
 TEST_F(http_object_store_test, closed_persistent_connection_fails_no_read_and_refuses_no_write)
