Forwarding: Give late queries the usual time of a part again

Cause: let a query that is past its objective gather for the objective once more. How late a query is, VMs estimate from its deadline and the way to its caller. Where the estimate is too high, an answer that would have been in time waits for missing parts.

--- a/source/forwarding/request_run.hpp
+++ b/source/forwarding/request_run.hpp
@@ -64,9 +64,6 @@
     static constexpr std::chrono::milliseconds answer_margin{10};
     /// A request waits for a connection for at most the objective divided by this.
     static constexpr int max_wait_divisor = 4;
-    /// The parts of a gathered query that arrives past its objective get at most the remaining time
-    /// divided by this; the rest is left for the answer's way to the caller.
-    static constexpr int late_part_time_divisor = 2;
     /// Replicas that were asked at the start of a request are silent by then.
     static constexpr std::chrono::milliseconds reach_check_delay =
         reach_monitor::silence_threshold + std::chrono::milliseconds{20};
@@ -79,8 +76,7 @@
           m_statistics(std::move(statistics)), m_baseline(m_statistics->baseline(rule.objective)),
           m_on_answer(std::move(on_answer)),
           m_deadline_budget(dispatcher.now(), std::min(m_request.deadline, rule.timeout)),
-          m_started_at(dispatcher.now()), m_hedge_end(compute_hedge_end()),
-          m_answer_at(compute_answer_time()),
+          m_started_at(dispatcher.now()), m_answer_at(compute_answer_time()),
           m_straggler_rule(m_started_at, m_baseline, rule.objective),
           m_caution(rule.is_gather(), compute_probe_interval(), m_started_at)
     {
@@ -207,28 +203,18 @@
         finish(std::move(result));
     }
 
-    base::time_point compute_hedge_end() const
+    base::time_point compute_answer_time() const
     {
         const base::time_point now = m_dispatcher.now();
         const base::time_point objective_end =
             now + m_route.objective - m_request.time_used - m_request.network_time -
             std::min<base::duration>(answer_margin, m_route.objective / 4);
+        // When the objective has already passed, parts that answer within the normal time are still
+        // included.
         return std::min(m_deadline_budget.end(),
                         std::max(objective_end, now + m_baseline.overdue_after));
     }
 
-    base::time_point compute_answer_time() const
-    {
-        if (m_request.time_used + m_request.network_time < m_route.objective)
-            return m_hedge_end;
-        // Once the objective has passed, a complete answer is worth more than an early one: slow
-        // parts get as long as those of a request in time.
-        const base::time_point now = m_dispatcher.now();
-        const base::duration part_time = std::min<base::duration>(
-            m_route.objective, m_deadline_budget.remaining(now) / late_part_time_divisor);
-        return std::max(m_hedge_end, now + part_time);
-    }
-
     bool refuse_if_unservable(const std::vector<std::string>& services)
     {
         const auto servable = m_dispatcher.find_servable(services, m_homes);
@@ -557,7 +543,7 @@
         const base::time_point now = m_dispatcher.now();
         // A single part does not queue behind other parts on this VM's network link, so a reply may
         // arrive after half the median.
-        const bool is_too_late = now + m_baseline.median / 2 > m_hedge_end && m_route.is_gather() &&
+        const bool is_too_late = now + m_baseline.median / 2 > m_answer_at && m_route.is_gather() &&
                                  m_answered >= required_parts();
         if (is_too_late || now + m_baseline.median > m_deadline_budget.end())
             return m_dispatcher.report_no_hedge(*this, item.service, "too little time is left");
@@ -793,10 +779,6 @@
     std::function<void()> m_on_reach_lost;
     const routing::deadline_budget m_deadline_budget;
     const base::time_point m_started_at;
-    // When a gathered query that has enough parts stops sending hedges. One that arrives past its
-    // objective sends few: another VM may have asked replicas before, which count for the route's
-    // limit too.
-    const base::time_point m_hedge_end;
     // When a gathered query is answered with the parts available, if they are enough.
     const base::time_point m_answer_at;
     straggler_rule m_straggler_rule;
