Forwarding: Queue a request once for the trial of its content

Cause: while a query is suspected of crashing replicas, one request of its content is tried at a time. A waiting request asked for the trial once for each of its parts and was queued each time; when the trial ended without a verdict, each entry asked for all parts again, so that the entries multiplied by the number of parts with each caller that left.

Change: trial_register queues each request once.

--- a/source/forwarding/trial_register.hpp
+++ b/source/forwarding/trial_register.hpp
@@ -4,6 +4,7 @@
 #define OSPREYSTAIR_FORWARDING_TRIAL_REGISTER_HPP
 
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -30,7 +31,9 @@
             entry.holder = run;
             return true;
         }
-        entry.waiting.push_back(run);
+        // Each part of a query asks.
+        if (entry.queued.insert(run).second)
+            entry.waiting.push_back(run);
         return false;
     }
 
@@ -44,13 +47,14 @@
         return true;
     }
 
-    /// Returns the requests that wait for a trial, and removes them from the queue.
+    /// Returns the requests that wait for a trial, each once, and removes them from the queue.
     std::vector<std::shared_ptr<Run>> take_waiting(const base::fingerprint& request)
     {
         std::vector<std::shared_ptr<Run>> result;
         const auto found = m_trials.find(request);
         if (found == m_trials.end())
             return result;
+        found->second.queued.clear();
         for (const std::weak_ptr<Run>& each : std::exchange(found->second.waiting, {}))
             if (auto run = each.lock())
                 result.push_back(std::move(run));
@@ -63,7 +67,10 @@
     struct trial
     {
         std::weak_ptr<Run> holder;
+        // In the order of their first question.
         std::vector<std::weak_ptr<Run>> waiting;
+        // Invariant: the same requests as in `waiting`, each once.
+        std::set<std::weak_ptr<Run>, std::owner_less<>> queued;
     };
 
     std::unordered_map<base::fingerprint, trial> m_trials;
--- a/tests/gateway/gateway_crash_test.cpp
+++ b/tests/gateway/gateway_crash_test.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <fmt/format.h>
 #include <gtest/gtest.h>
@@ -187,5 +188,38 @@
         << m_fleet.log(0);
 }
 
+// Guards against a VM that answers nobody for seconds: each caller of a suspected query that left
+// multiplied the entries of those that still waited for its trial.
+TEST_F(gateway_crash_test, other_queries_are_answered_while_callers_of_a_suspected_one_leave)
+{
+    constexpr int caller_count = 12;
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 60ms; });
+    std::vector<std::thread> callers;
+    callers.emplace_back([this] { m_fleet.send(0, {.path = "/all/suspected"}); });
+    sleep_for(30ms);
+    for (const auto& [id, each] : m_fleet.replicas())
+        each->crash(restart_delay);
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 10ms; });
+    EXPECT_TRUE(
+        wait_until(5s, [this] { return m_fleet.send(0, {.path = "/all/other"}).status == 200U; }));
+    // No trial ends by a reply.
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 900ms; });
+    for (int index = 0; index < caller_count; ++index)
+    {
+        caller_message message{.path = "/all/suspected"};
+        message.close_delay = 80ms - message.deadline;
+        callers.emplace_back([this, message] { m_fleet.send(0, message); });
+        // They get the trial, and leave, in the order of their arrival.
+        sleep_for(5ms);
+    }
+    sleep_for(100ms);
+    m_fleet.change_all_replicas([](auto& behaviour) { behaviour.latency = 10ms; });
+    const auto answer = m_fleet.send(0, {.path = "/all/other"});
+    for (std::thread& each : callers)
+        each.join();
+    EXPECT_EQ(answer.status, 200U) << answer.body;
+    EXPECT_LT(m_fleet.peak_memory_bytes(0), 64U << 20U);
+}
+
 } // namespace
 } // namespace ospreystair::testing_support
