--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -285,6 +285,20 @@
     EXPECT_TRUE(text.ends_with("Deadline-Ms: 123\r\nTarget-Instance: i-1\r\n\r\nbody"));
 }
 
+// Guards against a request that replicas run without its id, so that the second answer to it is
+// taken for that to the next caller's request.
+TEST(forwarded_message_test, id_is_passed_on_although_the_connection_field_names_it)
+{
+    http::request received = make_caller_request();
+    received.set(http::field::connection, "request-id, Host, X-Hop");
+    base::error reason;
+    const auto message = forwarded_message::create(received, reason);
+    ASSERT_TRUE(message) << reason.message;
+    EXPECT_NE(message->head->find("Request-Id: id-1\r\n"), std::string::npos);
+    EXPECT_NE(message->head->find("Host: h.example\r\n"), std::string::npos);
+    EXPECT_EQ(message->head->find("X-Hop"), std::string::npos);
+}
+
 // Guards against requests that replicas would run with no id or with two ids.
 TEST(forwarded_message_test, missing_or_repeated_fields_are_refused)
 {
