Query: Continue the numbers of sub-requests when a query restarts

In a query that restarts on a newer index, a late copy of a 409 of the first run was taken for the reply to a sub-request of the second run. The replica was reported as not holding the new version and the shard was asked a second time, or is missing when no other replica is left.

Cause: replies are matched by request id, number and shard. query_service runs the second query_run with the same request id, and each run counted its sub-requests from 1. A copy of a 200 was dropped, since its version differs.

Change: the count belongs to query_run::task, and copies of a task share it. query_service already runs the restart with a copy of the same task, so it needs no change. The late copy is now dropped as mismatched and its connection closed. A shard whose sub-request met one is retried within the retry budget, like all mismatched replies; until now the 409 was exempt from it.

No test shows the fault through query_service itself.

--- a/source/query/query_run.hpp
+++ b/source/query/query_run.hpp
@@ -70,7 +70,8 @@
 class query_run : public std::enable_shared_from_this<query_run<Upstream, Policy, Clock>>
 {
 public:
-    /// The parameters of a run.
+    /// The parameters of a run. Runs of copies of one task, such as a restart on a newer index
+    /// version, continue its sub-request numbers. They must use the same strand.
     struct task
     {
         task(std::string id, pinned_snapshot pinned, std::shared_ptr<const std::string> text,
@@ -85,6 +86,10 @@
         std::shared_ptr<const std::string> body;
         base::time_point start;
         base::time_point deadline;
+        /// The number of the last sub-request of all runs. Replies are matched by request id,
+        /// number and shard: with a number of an earlier run, a late second reply to that run would
+        /// be taken for the reply to this one.
+        std::shared_ptr<std::uint32_t> last_number = std::make_shared<std::uint32_t>(0);
     };
 
     static std::shared_ptr<query_run> create(Upstream& upstream, Policy policy, const Clock& clock,
@@ -330,8 +335,8 @@
         item->target = target;
         state->active.push_back(item);
         const auto message = std::make_shared<const sub_request>(
-            sub_request{m_task.request_id, static_cast<std::uint32_t>(m_attempts.size()),
-                        shard_name(index), m_task.snapshot.index_version(), m_task.body});
+            sub_request{m_task.request_id, ++*m_task.last_number, shard_name(index),
+                        m_task.snapshot.index_version(), m_task.body});
         http::asio::co_spawn(
             state->attempt_ended.get_executor(),
             [self = this->shared_from_this(), state, item, message]
--- a/source/query/sub_request.hpp
+++ b/source/query/sub_request.hpp
@@ -39,6 +39,7 @@
 struct sub_request
 {
     std::string request_id;
+    /// Unique within the request, also when its query restarts on a newer index version.
     std::uint32_t number = 0;
     std::string shard;
     std::uint64_t index_version = 0;
--- a/tests/unit/query_test.cpp
+++ b/tests/unit/query_test.cpp
@@ -262,10 +262,10 @@
             shards.push_back(fmt::format("s{}", shard));
         base::error reason;
         const auto start = std::chrono::steady_clock::now();
-        run = scripted_run::create(
-            sender, policy, m_clock,
-            {"vm-1", *pinned_snapshot::create(make_view(shards, replicas), "portal", reason),
-             std::make_shared<const std::string>("body"), start, start + time});
+        task.emplace("vm-1",
+                     *pinned_snapshot::create(make_view(shards, replicas), "portal", reason),
+                     std::make_shared<const std::string>("body"), start, start + time);
+        run = scripted_run::create(sender, policy, m_clock, *task);
     }
 
     void start()
@@ -296,6 +296,26 @@
         return result;
     }
 
+    // Ends all open attempts with `result`, and those started because of it, until the run ends.
+    void end_run(sub_result result)
+    {
+        while (!is_done)
+        {
+            for (const auto& item : open_attempts())
+                scripted_sender::end(*item, result);
+            step();
+        }
+    }
+
+    // Runs the same query on another snapshot.
+    void restart(pinned_snapshot snapshot)
+    {
+        task->snapshot = std::move(snapshot);
+        run = scripted_run::create(sender, policy, m_clock, *task);
+        is_done = false;
+        start();
+    }
+
     // Ends the remaining coroutines to avoid leaks.
     void finish_all()
     {
@@ -307,6 +327,7 @@
     asio::io_context context;
     scripted_sender sender;
     scripted_policy policy;
+    std::optional<scripted_run::task> task;
     std::shared_ptr<scripted_run> run;
     bool is_done = false;
 
@@ -467,6 +488,28 @@
     EXPECT_TRUE(fixture.run->answers().is_complete());
 }
 
+// Guards against ids that are sent a second time when a query restarts on a newer index.
+TEST(query_run_test, run_restarted_on_a_newer_index_repeats_no_number_of_the_first_run)
+{
+    constexpr int shard_count = 3;
+    run_fixture fixture(shard_count, 2);
+    fixture.policy.shared->retries_allowed = shard_count;
+    fixture.start();
+    fixture.step();
+    fixture.end_run(sub_result::version_not_held);
+    ASSERT_EQ(fixture.sender.attempts().size(), 2U * shard_count);
+    base::error reason;
+    fixture.restart(
+        *pinned_snapshot::create(make_view({"s0", "s1", "s2"}, 2, 8), "portal", reason));
+    fixture.step();
+    fixture.end_run(sub_result::answered);
+    ASSERT_EQ(fixture.sender.attempts().size(), 3U * shard_count);
+    std::set<std::uint32_t> numbers;
+    for (const auto& item : fixture.sender.attempts())
+        EXPECT_TRUE(numbers.insert(item->number).second) << item->shard << "/" << item->number;
+    fixture.finish_all();
+}
+
 // Guards against a run that waits for shards beyond its deadline.
 TEST(query_run_test, deadline_ends_the_run_and_cancels_open_attempts)
 {
@@ -909,6 +952,130 @@
         << to_string(second.result) << ": " << second.reason.message;
 }
 
+// Runs queries at two replicas that hold index version 8 only. On each connection the first refusal
+// is sent a second time when the next request has arrived.
+class late_refusal_test : public loopback_test
+{
+protected:
+    using run_type = query_run<upstream_client, scripted_policy, base::steady_clock_source>;
+
+    late_refusal_test()
+        : m_acceptor(asio::make_strand(m_context), http::make_endpoint("127.0.0.1", 0))
+    {
+        for (int number = 0; number < 3; ++number)
+            m_threads.emplace_back([this] { m_context.run(); });
+        asio::co_spawn(
+            m_acceptor.get_executor(), [this] { return accept_connections(); }, asio::detached);
+        m_client.apply(*view_of(7), [](const configuration::replica&) { return 1; });
+    }
+
+    void TearDown() override
+    {
+        for (const char* name : {"s0-r0", "s0-r1"})
+            m_client.find_pool(name)->close();
+        asio::post(m_acceptor.get_executor(), [this] { m_acceptor.close(); });
+        loopback_test::TearDown();
+    }
+
+    pinned_snapshot snapshot_of(std::uint64_t index_version)
+    {
+        base::error reason;
+        return *pinned_snapshot::create(view_of(index_version), "portal", reason);
+    }
+
+    std::shared_ptr<run_type> run_query(const run_type::task& task, int retries_allowed)
+    {
+        scripted_policy policy;
+        policy.shared->retries_allowed = retries_allowed;
+        auto result = run_type::create(m_client, policy, m_clock, task);
+        run([&] { return result->run(); }).get();
+        return result;
+    }
+
+private:
+    std::shared_ptr<configuration::view> view_of(std::uint64_t index_version)
+    {
+        auto result = make_view({"s0"}, 2, index_version);
+        for (auto& replica : result->configuration.services["portal"].shards[0].replicas)
+            replica.address = {"127.0.0.1", m_acceptor.local_endpoint().port()};
+        return result;
+    }
+
+    http::awaitable<void> accept_connections()
+    {
+        boost::system::error_code code;
+        for (;;)
+        {
+            http::tcp::socket socket =
+                co_await m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, code));
+            if (code)
+                co_return;
+            asio::co_spawn(
+                m_acceptor.get_executor(),
+                [this, socket = std::move(socket)]() mutable { return serve(std::move(socket)); },
+                asio::detached);
+        }
+    }
+
+    static http::response make_reply(const http::request& message)
+    {
+        const bool is_held = message["X-Index-Version"] == "8";
+        auto reply = http::make_json_response(is_held ? http::status::ok : http::status::conflict,
+                                              R"({"echo":"x"})");
+        for (const char* name : {"X-Request-Id", "X-Sub-Request", "X-Shard", "X-Index-Version"})
+            reply.set(name, message[name]);
+        reply.prepare_payload();
+        return reply;
+    }
+
+    http::awaitable<void> serve(http::tcp::socket socket)
+    {
+        boost::system::error_code code;
+        http::beast::flat_buffer buffer;
+        std::optional<http::response> copy;
+        for (bool is_first = true;; is_first = false)
+        {
+            http::request message;
+            co_await http::beast::http::async_read(socket, buffer, message,
+                                                   asio::redirect_error(asio::use_awaitable, code));
+            if (code)
+                co_return;
+            if (copy)
+                co_await http::beast::http::async_write(
+                    socket, *copy, asio::redirect_error(asio::use_awaitable, code));
+            copy.reset();
+            http::response reply = make_reply(message);
+            co_await http::beast::http::async_write(
+                socket, reply, asio::redirect_error(asio::use_awaitable, code));
+            if (is_first && reply.result() == http::status::conflict)
+                copy = std::move(reply);
+        }
+    }
+
+    base::steady_clock_source m_clock;
+    observe::metrics m_metrics;
+    http::tcp::acceptor m_acceptor;
+    upstream_client m_client{m_context, m_metrics};
+};
+
+// Guards against a late refusal of the first run that is taken for the reply to a sub-request of
+// the restarted run.
+TEST_F(late_refusal_test, refusal_of_the_first_run_sent_again_is_no_reply_to_the_restarted_run)
+{
+    const auto start = std::chrono::steady_clock::now();
+    run_type::task task("vm-1-a-1", snapshot_of(7), std::make_shared<const std::string>("x"), start,
+                        start + 20s);
+    const auto first = run_query(task, 0);
+    ASSERT_TRUE(first->answers().is_missing_for(sub_result::version_not_held));
+    task.snapshot = snapshot_of(8);
+    const auto restarted = run_query(task, 1);
+    const auto attempts = restarted->attempts();
+    ASSERT_EQ(attempts.size(), 2U);
+    EXPECT_EQ(attempts[0].replica, first->attempts()[0].replica);
+    EXPECT_EQ(attempts[0].result, sub_result::mismatched) << to_string(attempts[0].result);
+    EXPECT_TRUE(restarted->answers().is_complete());
+}
+
 // Guards against a store that exceeds its capacity or returns the record of another request.
 TEST(record_store_test, more_records_than_capacity_keeps_the_newest_within_the_bound)
 {
