Http: Answer a request that was read when its server stopped

Cause: when one call to the system finds the stop and the request, the handler of the read runs behind the closing of idle connections. The connection counted as idle and was closed; its request was handled all the same, up to a replica, and the answer had no way out.

Change: idle connections stop reading instead of being closed, so that a read that has succeeded goes on to its answer; the wait for requests in flight first lets such a request be counted.

--- a/source/http/server.cpp
+++ b/source/http/server.cpp
@@ -55,21 +55,22 @@
         m_stream.socket().set_option(tcp::no_delay(true), code);
         m_peer = m_stream.socket().remote_endpoint(code);
         // Continues while the server stops: a request that has arrived is answered, and its answer
-        // closes the connection.
-        while (co_await serve_request())
-        {
-        }
+        // closes the connection. Nothing would end a first read that begins after the stop.
+        bool can_continue = !m_owner->m_is_stopping.load();
+        while (can_continue)
+            can_continue = co_await serve_request();
         close();
     }
 
-    /// Closes the connection if no request is being answered.
+    /// Ends the connection if no request has been read. One that has been read, but not yet looked
+    /// at, is answered first.
     void close_if_idle()
     {
         asio::post(m_stream.get_executor(),
                    [self = shared_from_this()]
                    {
                        if (!self->m_is_answering)
-                           self->close();
+                           self->m_stream.cancel();
                    });
     }
 
@@ -360,13 +361,15 @@
 {
     constexpr std::chrono::milliseconds check_interval{5};
     asio::steady_timer timer(co_await asio::this_coro::executor);
-    while (m_request_count.load() != 0)
+    // A request that has been read, but not yet looked at, is counted by the end of the first
+    // interval.
+    do
     {
         if (std::chrono::steady_clock::now() >= deadline)
-            co_return false;
+            co_return m_request_count.load() == 0;
         timer.expires_after(check_interval);
         co_await timer.async_wait(asio::use_awaitable);
-    }
+    } while (m_request_count.load() != 0);
     co_return true;
 }
 
