--- a/review/standins-2/standin.hpp
+++ b/review/standins-2/standin.hpp
@@ -110,7 +110,7 @@
         const auto left =
             std::chrono::duration_cast<milliseconds>(deadline - clock_type::now()).count();
         pollfd state{m_descriptor, POLLIN, 0};
-        if (left < 0 || ::poll(&state, 1, static_cast<int>(left)) != 1)
+        if (m_descriptor < 0 || left < 0 || ::poll(&state, 1, static_cast<int>(left)) != 1)
         {
             m_end = "no more bytes in time";
             return false;
