--- a/source/http/target.hpp
+++ b/source/http/target.hpp
@@ -5,8 +5,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
+#include <fmt/format.h>
+
 #include "base/number.hpp"
 
 namespace ospreystair::http
@@ -37,6 +40,27 @@
     return std::nullopt;
 }
 
+/// Returns the text with all bytes percent-encoded but the unreserved ones (RFC 3986, 2.3) and
+/// those of `unescaped`. Without these, it can stand in a segment of a path or as the value of a
+/// parameter.
+inline std::string percent_encode(std::string_view text, std::string_view unescaped = {})
+{
+    std::string result;
+    for (const char character : text)
+    {
+        const auto byte = static_cast<unsigned char>(character);
+        const bool is_unreserved =
+            (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
+            (byte >= 'A' && byte <= 'Z') ||
+            std::string_view("-._~").find(character) != std::string_view::npos;
+        if (is_unreserved || unescaped.find(character) != std::string_view::npos)
+            result += character;
+        else
+            result += fmt::format("%{:02X}", byte);
+    }
+    return result;
+}
+
 /// Returns the value of a numeric parameter; absent when it is missing or not an unsigned integer.
 inline std::optional<std::uint64_t> find_number(std::string_view target, std::string_view name)
 {
--- a/source/objects/http_object_store.cpp
+++ b/source/objects/http_object_store.cpp
@@ -7,6 +7,8 @@
 #include <fmt/format.h>
 #include <json/json.h>
 
+#include "http/target.hpp"
+
 namespace ospreystair::objects
 {
 
@@ -15,27 +17,12 @@
 
 constexpr std::string_view objects_path = "/v1/objects";
 
-std::string percent_encode(std::string_view text)
-{
-    std::string result;
-    for (const char character : text)
-    {
-        const auto byte = static_cast<unsigned char>(character);
-        const bool is_unescaped =
-            (byte >= '0' && byte <= '9') || (byte >= 'a' && byte <= 'z') ||
-            (byte >= 'A' && byte <= 'Z') ||
-            std::string_view("-._~/").find(character) != std::string_view::npos;
-        if (is_unescaped)
-            result += character;
-        else
-            result += fmt::format("%{:02X}", byte);
-    }
-    return result;
-}
+// Keys are paths.
+constexpr std::string_view unescaped_in_keys = "/";
 
 std::string object_target(const std::string& key)
 {
-    return fmt::format("{}/{}", objects_path, percent_encode(key));
+    return fmt::format("{}/{}", objects_path, http::percent_encode(key, unescaped_in_keys));
 }
 
 std::optional<std::uint64_t> parse_version(const http::response& reply)
@@ -257,8 +244,9 @@
 http::awaitable<std::optional<std::vector<listed_object>>>
 http_object_store::list(std::string prefix, base::time_point deadline, base::error& reason)
 {
-    http::request message = make_request(
-        http::verb::get, fmt::format("{}?prefix={}", objects_path, percent_encode(prefix)));
+    http::request message =
+        make_request(http::verb::get, fmt::format("{}?prefix={}", objects_path,
+                                                  http::percent_encode(prefix, unescaped_in_keys)));
     http::exchange_progress progress{};
     auto reply = co_await call(std::move(message), deadline, progress, reason);
     if (!reply)
--- a/standins/users_platform/store_standin.cpp
+++ b/standins/users_platform/store_standin.cpp
@@ -2,6 +2,7 @@
 
 #include "standins/users_platform/store_standin.hpp"
 
+#include <charconv>
 #include <utility>
 
 #include <fmt/format.h>
@@ -31,6 +32,39 @@
     return http::make_json_response(code, to_text(body));
 }
 
+std::optional<char> parse_hex_byte(std::string_view digits)
+{
+    unsigned value = 0;
+    const auto [end, code] =
+        std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+    if (digits.size() != 2 || code != std::errc{} || end != digits.data() + digits.size())
+        return std::nullopt;
+    return static_cast<char>(value);
+}
+
+// Whether each '%' is followed by two hexadecimal digits.
+bool is_well_formed(std::string_view target)
+{
+    for (auto at = target.find('%'); at != std::string_view::npos; at = target.find('%', at + 1))
+        if (!parse_hex_byte(target.substr(at + 1, 2)))
+            return false;
+    return true;
+}
+
+// Decodes a name in a well-formed target. In a query, '+' stands for a blank.
+std::string decode_name(std::string_view text, bool is_in_query)
+{
+    std::string result;
+    for (std::size_t index = 0; index < text.size(); ++index)
+    {
+        const auto byte =
+            text[index] == '%' ? parse_hex_byte(text.substr(index + 1, 2)) : std::nullopt;
+        result += byte ? *byte : is_in_query && text[index] == '+' ? ' ' : text[index];
+        index += byte ? 2 : 0;
+    }
+    return result;
+}
+
 } // namespace
 
 std::optional<std::unique_ptr<store_standin>> store_standin::create(http::asio::io_context& context,
@@ -113,6 +147,12 @@
     return objects_of_kind->second.at(name).content;
 }
 
+void store_standin::set_page_size(std::size_t items)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_page_size = items;
+}
+
 void store_standin::set_mode(store_mode mode)
 {
     const std::scoped_lock lock(m_mutex);
@@ -200,7 +240,10 @@
 store_standin::answer_call(const http::request& message,
                            std::shared_ptr<http::exchange_context> peer)
 {
-    const std::string target(message.target());
+    // What follows a '#' is a fragment, which is no part of a request's target.
+    const std::string target(message.target().substr(0, message.target().find('#')));
+    if (!is_well_formed(target))
+        co_return make_reply(http::status::bad_request, Json::objectValue);
     const bool is_change = message.method() != http::verb::get;
     store_mode mode{};
     milliseconds delay{};
@@ -226,14 +269,15 @@
     std::string path = target.substr(objects_path.size(), target.find('?') - objects_path.size());
     const std::size_t slash = path.find('/');
     const std::string kind = path.substr(0, slash);
-    const std::string name = slash == std::string::npos ? "" : path.substr(slash + 1);
+    const std::string name =
+        slash == std::string::npos ? "" : decode_name(path.substr(slash + 1), false);
     if (const auto revision = http::find_number(target, "watch"); revision && !is_change)
         co_return co_await answer_watch(
             kind, *revision, milliseconds{http::find_number(target, "waitMs").value_or(0)},
             std::move(peer));
     if (!is_change && name.empty())
-        co_return answer_list(kind,
-                              std::string(http::find_parameter(target, "after").value_or("")));
+        co_return answer_list(
+            kind, decode_name(http::find_parameter(target, "after").value_or(""), true));
     http::response reply = answer_change(message, kind, name);
     if (is_losing)
         co_await wait(unlimited_delay);
@@ -301,7 +345,7 @@
     const auto& objects_of_kind = m_objects[kind];
     for (auto item = objects_of_kind.upper_bound(after); item != objects_of_kind.end(); ++item)
     {
-        if (body["items"].size() == page_size)
+        if (body["items"].size() == m_page_size)
         {
             body["more"] = true;
             break;
--- a/standins/users_platform/store_standin.hpp
+++ b/standins/users_platform/store_standin.hpp
@@ -37,7 +37,7 @@
 class store_standin
 {
 public:
-    static constexpr std::size_t page_size = 50;
+    static constexpr std::size_t default_page_size = 50;
     /// Maximum number of events in one answer to a watch; the next watch returns more.
     static constexpr std::size_t max_events = 500;
 
@@ -58,6 +58,8 @@
     void remove(const std::string& kind, const std::string& name);
     std::optional<Json::Value> find(const std::string& kind, const std::string& name) const;
 
+    /// Sets the maximum number of items in one answer to a list.
+    void set_page_size(std::size_t items);
     void set_mode(store_mode mode);
     void set_delay(std::chrono::milliseconds delay);
     /// Loses the answers of writes: the change is made, but the call is never answered.
@@ -125,6 +127,7 @@
     std::map<std::string, std::map<std::string, object>> m_copy;
     std::uint64_t m_copy_revision = 1;
     std::uint64_t m_era = 1;
+    std::size_t m_page_size = default_page_size;
     store_mode m_mode = store_mode::serving;
     std::chrono::milliseconds m_delay{0};
     std::map<http::tcp::endpoint, std::chrono::milliseconds> m_delays_by_address;
