Platform: Keep what is known when a list cannot be read to its end

Callers would lose the replicas behind a page on which no entry's name can be read: the VM took the list for complete and the replicas for gone, and passed the short list on to the VMs that read from it.

Cause: store_client ended the list without a sign when a page brought no new name, as also for a store that sends a page again.

Change: a listing says whether it is complete. While it is not, replicas, evacuations and VMs that are missing in it stay, the mirror is not served, and the list is read again after the next change.

That evacuations and VMs are kept is by reading. Why it works: an absence is acted on only where the store has said that no more is there.

--- a/source/forwarding/replica_directory.cpp
+++ b/source/forwarding/replica_directory.cpp
@@ -16,7 +16,8 @@
 }
 
 void replica_directory::apply_listing(const std::vector<registration>& listing,
-                                      base::time_point now, base::duration age)
+                                      base::time_point now, base::duration age,
+                                      listing_extent extent)
 {
     const bool is_restored = std::exchange(m_is_restored, false);
     std::set<std::string> listed;
@@ -30,7 +31,7 @@
     }
     std::vector<std::string> missing;
     for (const auto& [id, known] : m_replicas)
-        if (!listed.contains(id))
+        if (extent == listing_extent::complete && !listed.contains(id))
             missing.push_back(id);
     for (const std::string& id : missing)
         apply_removal(id, now, age);
--- a/source/forwarding/replica_directory.hpp
+++ b/source/forwarding/replica_directory.hpp
@@ -26,6 +26,13 @@
     double lowest_share = 1;
 };
 
+/// Whether a list of entries has all that there are.
+enum class listing_extent
+{
+    complete,
+    partial
+};
+
 /// Keeps one `replica` for each incarnation that may receive requests.
 ///
 /// Guards against this failure: entries expire during an outage of the registry, which a VM may not
@@ -58,10 +65,10 @@
         m_removal_delay = removal_delay;
     }
 
-    /// Applies the registry's complete list. `age` is an upper bound of the time since entries that
-    /// are missing in it were removed.
+    /// Applies the registry's list. `age` is an upper bound of the time since entries that are
+    /// missing in a complete list were removed. Entries that are missing in a partial one are kept.
     void apply_listing(const std::vector<registration>& listing, base::time_point now,
-                       base::duration age = {});
+                       base::duration age = {}, listing_extent extent = listing_extent::complete);
     void apply_entry(const registration& entry, base::time_point now);
     /// `age` is an upper bound of the time since the removal.
     void apply_removal(const std::string& id, base::time_point now, base::duration age = {});
--- a/tests/gateway/gateway_reads_test.cpp
+++ b/tests/gateway/gateway_reads_test.cpp
@@ -1,6 +1,7 @@
 // Reads of the store's objects through other VMs' mirrors.
 
 #include <atomic>
+#include <functional>
 #include <future>
 #include <optional>
 #include <set>
@@ -98,7 +99,7 @@
     void start(const http::tcp::endpoint& store_of_second)
     {
         base::error reason;
-        m_store_of_first = m_store->serve_edited([](std::string&) {}, reason).value();
+        m_store_of_first = m_store->serve_edited(m_edit_for_first, reason).value();
         m_direct_follower.emplace(m_context, std::vector<read_source>{{m_store_of_first, false}},
                                   "servers", m_batch_delay, m_direct_sink);
         std::vector<read_source> sources(m_unreachable_relays, {m_unreachable_address, true});
@@ -113,12 +114,14 @@
         m_thread = std::thread([this] { m_context.run(); });
     }
 
-    bool second_vm_knows(const std::string& name)
+    bool knows(const recording_sink& sink, const std::string& name)
     {
         std::promise<bool> result;
-        http::asio::post(m_context, [&] { result.set_value(m_relay_sink.names.contains(name)); });
+        http::asio::post(m_context, [&] { result.set_value(sink.names.contains(name)); });
         return result.get_future().get();
     }
+    bool first_vm_knows(const std::string& name) { return knows(m_direct_sink, name); }
+    bool second_vm_knows(const std::string& name) { return knows(m_relay_sink, name); }
 
     // Takes the store away for some seconds, after which it may come back from an older copy;
     // returns the time from its return until the second VM knows of a change.
@@ -157,6 +160,9 @@
     }
 
     std::chrono::milliseconds m_batch_delay{20};
+    // Changes the store's answers to the first VM.
+    std::function<void(std::string&)> m_edit_for_first = [](std::string&) {
+    };
     // VMs that the second one would read from and cannot reach.
     std::size_t m_unreachable_relays = 0;
     http::asio::io_context m_context;
@@ -174,6 +180,27 @@
     const http::tcp::endpoint m_unreachable_address{http::asio::ip::make_address("127.0.0.1"), 1};
 };
 
+// Guards against a VM that cannot read a list to its end and passes the beginning on as the whole,
+// and against one that does not read the rest when it can be read.
+TEST_F(gateway_reads_test, list_that_cannot_be_read_to_its_end_is_not_mirrored_and_read_again)
+{
+    m_edit_for_first = [](std::string& text)
+    {
+        const std::string name = R"("name":"p")";
+        for (auto at = text.find(name); at != std::string::npos; at = text.find(name, at))
+            text.replace(at, name.size(), R"("name":null)");
+    };
+    m_store->set_page_size(1);
+    m_store->put("servers", "p", Json::objectValue);
+    m_store->put("servers", "two", Json::objectValue);
+    start(m_store->address());
+    ASSERT_TRUE(wait_until(3s, [this] { return second_vm_knows("two"); }));
+    EXPECT_TRUE(first_vm_knows("one"));
+    EXPECT_FALSE(first_vm_knows("two"));
+    m_store->remove("servers", "p");
+    EXPECT_TRUE(wait_until(3s, [this] { return first_vm_knows("two"); }));
+}
+
 // Guards against a VM that cannot reach the store and misses changes that other VMs have read.
 TEST_F(gateway_reads_test, changes_reach_a_vm_that_cannot_reach_the_store)
 {
--- a/tests/gateway/store_list_test.cpp
+++ b/tests/gateway/store_list_test.cpp
@@ -122,5 +122,75 @@
     RC_ASSERT(!tested.store().find(kind, name));
 }
 
+/// A store with one entry a page, in which the name of the entry "odd" cannot be read.
+class nameless_entry_test : public testing::Test
+{
+protected:
+    nameless_entry_test()
+    {
+        m_tested.store().set_page_size(1);
+        for (const char* name : {"a", "odd", "z"})
+            m_tested.store().put(kind, name, Json::objectValue);
+    }
+
+    std::optional<store_listing> list()
+    {
+        const auto hide_name = [](std::string& text)
+        {
+            const std::string name = R"("name":"odd")";
+            if (const auto at = text.find(name); at != std::string::npos)
+                text.replace(at, name.size(), R"("name":null)");
+        };
+        base::error reason;
+        return m_tested.list(m_tested.store().serve_edited(hide_name, reason).value());
+    }
+
+    paged_store m_tested;
+};
+
+// Guards against a list that ends at a page which cannot be continued and counts as complete:
+// replicas behind it lost their entries.
+TEST_F(nameless_entry_test, list_that_cannot_be_continued_is_incomplete)
+{
+    const auto listing = list();
+    ASSERT_TRUE(listing) << m_tested.reason().message;
+    EXPECT_FALSE(listing->is_complete);
+    EXPECT_EQ(names_of(*listing), std::set<std::string>{"a"});
+    EXPECT_EQ(m_tested.unreadable(), 1U);
+}
+
+// Guards against the loss of what stands behind an unreadable entry where its page can be
+// continued.
+TEST_F(nameless_entry_test, list_goes_on_behind_an_entry_between_others)
+{
+    m_tested.store().set_page_size(2);
+    const auto listing = list();
+    ASSERT_TRUE(listing) << m_tested.reason().message;
+    EXPECT_TRUE(listing->is_complete);
+    EXPECT_EQ(names_of(*listing), (std::set<std::string>{"a", "z"}));
+}
+
+// Guards against pages that are read for ever when a store sends the same ones again.
+TEST(repeating_store_test, list_of_pages_that_repeat_ends_incomplete)
+{
+    paged_store tested;
+    tested.store().set_page_size(1);
+    tested.store().put(kind, "a", Json::objectValue);
+    tested.store().put(kind, "b", Json::objectValue);
+    const auto announce_more = [](std::string& text)
+    {
+        const std::string end = R"("more":false)";
+        if (const auto at = text.find(end); at != std::string::npos)
+            text.replace(at, end.size(), R"("more":true)");
+        // The last page names the first entry again.
+        if (const auto at = text.find(R"("name":"b")"); at != std::string::npos)
+            text.replace(at, 10, R"("name":"a")");
+    };
+    base::error reason;
+    const auto listing = tested.list(tested.store().serve_edited(announce_more, reason).value());
+    ASSERT_TRUE(listing) << tested.reason().message;
+    EXPECT_FALSE(listing->is_complete);
+}
+
 } // namespace
 } // namespace ospreystair::platform
--- a/tests/unit/forwarding_replica_test.cpp
+++ b/tests/unit/forwarding_replica_test.cpp
@@ -163,6 +163,18 @@
     EXPECT_EQ(m_removed, std::vector<std::string>{"one"});
 }
 
+// Guards against a list that could not be read to its end and takes the replicas behind its end out
+// of use.
+TEST_F(replica_directory_test, partial_list_adds_replicas_and_removes_none)
+{
+    m_directory.apply_listing({m_first_entry}, m_now);
+    m_directory.apply_listing({m_second_entry}, m_now, 0ms, listing_extent::partial);
+    EXPECT_FALSE(m_directory.next_expiry());
+    EXPECT_EQ(m_directory.replicas().size(), 2U);
+    m_directory.apply_listing({m_second_entry}, m_now);
+    EXPECT_TRUE(m_directory.replicas().at("one")->is_unconfirmed());
+}
+
 // Guards against requests to a replica that left some time before this VM heard of it: the removal
 // delay counts from the removal.
 TEST_F(replica_directory_test, removal_heard_of_late_leaves_the_rest_of_the_delay)
