--- a/source/teams/team_directory.cpp
+++ b/source/teams/team_directory.cpp
@@ -2,12 +2,12 @@
 
 #include "teams/team_directory.hpp"
 
-#include <algorithm>
 #include <cmath>
 #include <utility>
 
 #include <fmt/format.h>
 
+#include "base/field_value.hpp"
 #include "base/random.hpp"
 
 namespace ospreystair::teams
@@ -22,20 +22,6 @@
     return base::fingerprint::of({salt, text});
 }
 
-// A control character would let a name add header fields; outer blanks are lost on the way.
-bool is_field_value(std::string_view text)
-{
-    const auto is_control = [](char each)
-    {
-        constexpr unsigned char first_printable = 0x20;
-        constexpr unsigned char delete_character = 0x7f;
-        const auto value = static_cast<unsigned char>(each);
-        return value < first_printable || value == delete_character;
-    };
-    return !text.empty() && text.front() != ' ' && text.back() != ' ' &&
-           std::none_of(text.begin(), text.end(), is_control);
-}
-
 bool check_team(const team_definition& item, base::error& reason)
 {
     const auto reject = [&](const char* problem)
@@ -48,7 +34,7 @@
     if (item.properties.name.empty())
         return reject("the name is empty; name the team");
     if (item.properties.name.size() > team_directory::max_name_bytes ||
-        !is_field_value(item.properties.name))
+        !base::is_field_value(item.properties.name))
         return reject("the name is longer than 256 bytes, has control characters, or begins or "
                       "ends with a blank; choose another");
     if (!std::isfinite(quota.requests_per_second) || quota.requests_per_second < 0 ||
--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -333,7 +333,7 @@
         fields += std::string(item.name_string()) + ": " + std::string(item.value()) + "\n";
     m_request_arrivals.push_back(
         {client_session.arrived_at, std::string(message["Request-Id"]), client_session.sender,
-         behaviour.refuses && !behaviour.retry_after.empty(), std::move(fields)});
+         behaviour.refuses && !behaviour.retry_after.empty(), std::move(fields), message.body()});
     return behaviour;
 }
 
--- a/standins/users_platform/replica_standin.hpp
+++ b/standins/users_platform/replica_standin.hpp
@@ -99,6 +99,7 @@
     bool has_closed = false;
     /// The header fields as received, a line each.
     std::string fields = {};
+    std::string body = {};
 };
 
 /// An answer as a replica made it, whether it was sent whole or not.
--- a/tests/gateway/gateway_odd_entry_test.cpp
+++ b/tests/gateway/gateway_odd_entry_test.cpp
@@ -56,5 +56,21 @@
                                          odd_name{"line_break", "a\r\nb"}),
                          [](const auto& instance) { return std::string(instance.param.label); });
 
+// Guards against an entry at a replica's address whose name ends the header of requests early: the
+// replica ran them with another body.
+TEST(odd_entry_at_a_replica_test, requests_reach_the_replica_as_they_were_sent)
+{
+    platform_fleet fleet{{}};
+    const auto entry = fleet.store().find("servers", "single-0");
+    ASSERT_TRUE(entry);
+    fleet.store().put("servers", "single-0\r\n", *entry);
+    sleep_for(1500ms);
+    const std::string body = "an order";
+    for (int round = 0; round < 20; ++round)
+        EXPECT_EQ(fleet.send(0, {.path = "/once/q", .method = "POST", .body = body}).status, 200U);
+    for (const auto& arrival : fleet.replica("single-0").request_arrivals())
+        EXPECT_EQ(arrival.body, body);
+}
+
 } // namespace
 } // namespace ospreystair::testing_support
--- a/tests/unit/platform_decoder_test.cpp
+++ b/tests/unit/platform_decoder_test.cpp
@@ -226,6 +226,27 @@
     EXPECT_FALSE(decode_registration(unknown, reason));
 }
 
+// Guards against an entry whose name ends the header field that names the replica in requests.
+TEST(registration_decoder_test, entry_is_decoded_if_its_name_can_stand_in_a_header_field)
+{
+    using namespace std::string_literals;
+    base::error reason;
+    store_object entry;
+    entry.content = parse(R"({"service":"s","address":"10.0.0.1:80","zone":"a","slots":2,
+        "state":"ready"})");
+    for (const std::string& name : {"i&1"s, "i+1"s, "i#1"s, "i%1"s, "i 1"s, "i\xc3\xa9"s})
+    {
+        entry.name = name;
+        EXPECT_TRUE(decode_registration(entry, reason)) << name;
+    }
+    for (const std::string& name :
+         {""s, "i\r\n"s, "i\nX: 1"s, "i\r"s, " i"s, "i "s, "\ti"s, "i\0"s, "i\x7f"s})
+    {
+        entry.name = name;
+        EXPECT_FALSE(decode_registration(entry, reason)) << name;
+    }
+}
+
 http::request make_caller_request()
 {
     http::request received(http::verb::post, "/a/b?c=d", 11);
