HTTP: Take replies with a status outside 100 to 599 for malformed

Callers got 600 and 999 of a replica in trouble as answers to orders, and 504 at the end of their time where it answered 000, 001 or 099.

Cause: Beast's parser takes any three digits. upstream_connection took those below 200 for interim replies and waited for another one; client_connection passed on all but 1xx.

Change: both kinds of connection fail at once.

Why it works: a status decides whether a body and another reply follow, so nothing behind an unknown one is read.

--- a/source/http/client_connection.cpp
+++ b/source/http/client_connection.cpp
@@ -156,6 +156,8 @@
         parser.body_limit(max_reply_bytes);
         co_await beast::http::async_read(m_stream, m_buffer, parser,
                                          asio::redirect_error(asio::use_awaitable, code));
+        if (!code && !is_valid_status(parser.get().result_int()))
+            code = beast::http::error::bad_status;
         // An interim (1xx) reply is followed by the final one.
         if (code || beast::http::to_status_class(parser.get().result_int()) !=
                         beast::http::status_class::informational)
--- a/source/http/reply_parser.cpp
+++ b/source/http/reply_parser.cpp
@@ -51,9 +51,12 @@
 void reply_parser::on_response_impl(int status, beast::string_view reason, int,
                                     beast::error_code& code)
 {
-    code = contains_status_line(to_view(reason)) ? beast::http::error::bad_reason
-                                                 : beast::error_code{};
     m_status = static_cast<unsigned>(status);
+    if (!is_valid_status(m_status))
+        code = beast::http::error::bad_status;
+    else
+        code = contains_status_line(to_view(reason)) ? beast::http::error::bad_reason
+                                                     : beast::error_code{};
 }
 
 void reply_parser::on_field_impl(beast::http::field, beast::string_view name_text,
--- a/tests/fuzz/replica_reply_fuzz.cpp
+++ b/tests/fuzz/replica_reply_fuzz.cpp
@@ -1,6 +1,7 @@
 // Guards against bytes from replicas that crash a VM, and against replies without a receipt or
 // without a success status that are taken for a success.
 
+#include "http/status_line.hpp"
 #include "platform/forwarded_message.hpp"
 #include "tests/fuzz/fuzz_target.hpp"
 
@@ -15,6 +16,7 @@
         parser.put_eof(code);
     if (code || !parser.is_done())
         return 0;
+    fuzz::require(http::is_valid_status(parser.status()));
     http::upstream_result received;
     received.progress = http::exchange_progress::answered;
     received.reply = &parser;
