Routing: Keep permits of a very high limit apart

The process ended with signal 8 on x86-64, and callers lost their requests, when a replica named a Server-Limit of more than 1e9 a second for each VM.

Cause: the time between two permits was rounded to 0 ns, and rate_share divided by it. On arm64 the division gives 0, so that permits of any age were valid.

Change: permits are at least 1 ns apart.

Why it works: the interval is the only divisor there, and it is never 0.

--- a/source/routing/rate_share.hpp
+++ b/source/routing/rate_share.hpp
@@ -84,7 +84,7 @@
         const permit_schedule schedule = plan_permits(limit);
         const double rate = schedule.permits_per_second;
         const auto vm_count = static_cast<double>(std::max<std::size_t>(1, position.vm_count));
-        m_interval = to_duration(vm_count / rate);
+        m_interval = std::max(base::duration{1}, to_duration(vm_count / rate));
         m_lifetime = to_duration(schedule.lifetime_s);
         const base::time_point first =
             position.epoch + to_duration(static_cast<double>(position.rank) / rate);
--- a/tests/unit/routing_rate_test.cpp
+++ b/tests/unit/routing_rate_test.cpp
@@ -177,5 +177,21 @@
     EXPECT_EQ(share.next(m_now), m_now + 2s);
 }
 
+// Guards against a limit so high that permits come less than a nanosecond apart: the division by
+// that time ended the process on x86-64, and gave permits of any age on arm64.
+TEST(rate_share_test, limit_beyond_any_rate_gives_current_permits)
+{
+    const base::time_point start{1000s};
+    for (const double limit : {1e9, 4e9, 18446744073709551615.0, 1e300})
+    {
+        rate_share share(limit, {3, 1, base::time_point{}}, start);
+        const base::time_point now = start + 1h;
+        EXPECT_TRUE(share.allows_request(now)) << limit;
+        EXPECT_GE(share.next(now), now - 2s) << limit;
+        share.record_request(now);
+        EXPECT_TRUE(share.allows_request(now + 1ms)) << limit;
+    }
+}
+
 } // namespace
 } // namespace ospreystair::routing
