--- a/tests/gateway/vm_register_test.cpp
+++ b/tests/gateway/vm_register_test.cpp
@@ -27,6 +27,7 @@
         base::error reason;
         const http::tcp::endpoint any_port{http::asio::ip::make_address("127.0.0.1"), 0};
         m_store = std::move(standins::store_standin::create(m_context, any_port, reason).value());
+        m_address = m_store->address();
     }
 
     ~vm_register_test() override
@@ -38,7 +39,7 @@
     std::unique_ptr<platform::vm_register> make_register(const std::string& name)
     {
         return std::make_unique<platform::vm_register>(
-            m_context, m_store->address(), platform::fleet_vm{{name, "a"}, "10.0.0.1:7380", 21},
+            m_context, m_address, platform::fleet_vm{{name, "a"}, "10.0.0.1:7380", 21},
             platform::vm_register::handlers{[this, name](const std::vector<platform::fleet_vm>& vms)
                                             {
                                                 const std::scoped_lock lock(m_mutex);
@@ -71,6 +72,8 @@
     http::asio::executor_work_guard<http::asio::io_context::executor_type> m_work_guard{
         m_context.get_executor()};
     std::unique_ptr<standins::store_standin> m_store;
+    // Where the VMs reach the store.
+    http::tcp::endpoint m_address;
     std::vector<std::unique_ptr<platform::vm_register>> m_registers;
     std::mutex m_mutex;
     // Guarded by m_mutex.
@@ -97,6 +100,30 @@
     EXPECT_FALSE(m_store->find("ospreystair-vms", "vm0").has_value());
 }
 
+// Guards against shares that become too large because an entry whose name cannot be read hides the
+// VMs behind it.
+TEST_F(vm_register_test, list_that_cannot_be_read_to_its_end_loses_no_vm)
+{
+    const auto hide_name = [](std::string& text)
+    {
+        const std::string name = R"("name":"vm1-odd")";
+        if (const auto at = text.find(name); at != std::string::npos)
+            text.replace(at, name.size(), R"("name":null)");
+    };
+    base::error reason;
+    m_address = m_store->serve_edited(hide_name, reason).value();
+    m_store->set_page_size(1);
+    m_registers.push_back(make_register("vm1"));
+    m_registers.push_back(make_register("vm2"));
+    start();
+    const std::set<std::string> all{"vm1", "vm2"};
+    ASSERT_TRUE(wait_until(3s, [&] { return list_of("vm1") == all && list_of("vm2") == all; }));
+    m_store->put("ospreystair-vms", "vm1-odd", Json::objectValue);
+    sleep_for(1s);
+    EXPECT_EQ(list_of("vm1"), all);
+    EXPECT_EQ(list_of("vm2"), all);
+}
+
 // Guards against an outage of the store that removes entries from the list.
 TEST_F(vm_register_test, store_outage_removes_no_vm)
 {
