--- a/standins/users_platform/replica_standin.cpp
+++ b/standins/users_platform/replica_standin.cpp
@@ -345,8 +345,9 @@
     constexpr unsigned misdirected = 421;
     const unsigned status = behaviour.refuses ? 503 : behaviour.status;
     m_statuses[std::string(message["Request-Id"])].push_back(status);
-    std::string text = fmt::format("HTTP/1.1 {:03} Status\r\nRequest-Id: {}\r\nServer-Load: 1,0,2\r\n",
-                                   status, std::string(message["Request-Id"]));
+    std::string text =
+        fmt::format("HTTP/1.1 {:03} Status\r\nRequest-Id: {}\r\nServer-Load: 1,0,2\r\n", status,
+                    std::string(message["Request-Id"]));
     if (behaviour.refuses && !behaviour.retry_after.empty())
         text += fmt::format("Retry-After: {}\r\n", behaviour.retry_after);
     if (behaviour.is_leaving)
