Tests: Give an added replica no port of a crashed one

Cause, from the run's log: index1x1-0, added at about 23 s, got port 36011, the port of shard3-0, which was crashed at that moment; both names stand in the log with it. VM 2's route to shard3-0 was cut, not closed, and so still listened on that port. Ruled out by a trial: outgoing connections of routes, which reuse addresses, do not keep a route from listening on their port.

Change: a replica is started again until its port is one that no known replica has.

Evidence: the trace; the coincidence was not forced, so no test was seen to fail by it again. Why it works: a route's port is that of its replica, and no two replicas share one any more.

--- a/tests/gateway/platform_fleet.cpp
+++ b/tests/gateway/platform_fleet.cpp
@@ -2,6 +2,7 @@
 
 #include "tests/gateway/platform_fleet.hpp"
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <future>
@@ -51,6 +52,41 @@
     return id.substr(0, id.rfind('-'));
 }
 
+using replica_map = std::map<std::string, std::shared_ptr<standins::replica_standin>>;
+
+bool has_port_of_other(const standins::replica_standin& added, const replica_map& known)
+{
+    return std::any_of(known.begin(), known.end(),
+                       [&added](const auto& item)
+                       { return item.second->address().port() == added.address().port(); });
+}
+
+// Starts a replica at a port that no other one has had: a crashed replica comes back at its port,
+// on which its routes may listen meanwhile. Returns null and sets the reason on failure.
+std::shared_ptr<standins::replica_standin> start_replica(http::asio::io_context& context,
+                                                         const std::string& id,
+                                                         const replica_map& known,
+                                                         base::error& reason)
+{
+    // These keep their ports until the replica has one of its own.
+    std::vector<std::shared_ptr<standins::replica_standin>> rejected;
+    std::shared_ptr<standins::replica_standin> result;
+    while (!result)
+    {
+        auto created = standins::replica_standin::create(
+            context, {id, {http::asio::ip::make_address("127.0.0.1"), 0}}, reason);
+        if (!created)
+            break;
+        if (has_port_of_other(**created, known))
+            rejected.push_back(*created);
+        else
+            result = *created;
+    }
+    for (const auto& each : rejected)
+        each->stop();
+    return result;
+}
+
 } // namespace
 
 std::vector<std::string> caller_answer::receipts() const
@@ -141,12 +177,10 @@
 {
     const std::string id = fmt::format("{}-{}", service, index);
     base::error reason;
-    auto created = standins::replica_standin::create(
-        m_context, {id, {http::asio::ip::make_address("127.0.0.1"), 0}}, reason);
-    ASSERT_TRUE(created) << reason.message;
-    m_replicas[id] = *created;
-    (*created)->on_listening([this, id](bool is_listening)
-                             { on_replica_listening(id, is_listening); });
+    const auto added = start_replica(m_context, id, m_replicas, reason);
+    ASSERT_TRUE(added) << reason.message;
+    m_replicas[id] = added;
+    added->on_listening([this, id](bool is_listening) { on_replica_listening(id, is_listening); });
     add_routes(id);
     change_replica(id, [index](standins::replica_behaviour& behaviour)
                    { behaviour.body = fmt::format("0123456789abcde{}", index % 10); });
