Review: show that replicas are never connected to again after a partition

Cause: an attempt that is dropped while its connection is still being opened leaves the closed connection in the replica's pool, where it uses up the quota and keeps the pool from connecting again.

--- a/review/stand-ins-3/deployment.cpp
+++ b/review/stand-ins-3/deployment.cpp
@@ -31,6 +31,7 @@
 {
 
 constexpr std::string_view line_end = "\r\n";
+constexpr int backlog = 512;
 
 sockaddr_in make_address(const std::string& ip, unsigned port)
 {
@@ -49,7 +50,7 @@
     setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in address = make_address(ip, port);
     if (bind(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0 &&
-        listen(descriptor, 512) == 0)
+        listen(descriptor, backlog) == 0)
         return descriptor;
     close(descriptor);
     return -1;
@@ -309,6 +310,32 @@
     m_connections.clear();
 }
 
+void replica::cut_off()
+{
+    constexpr int fillers = 4;
+    const std::scoped_lock lock(m_mutex);
+    m_is_cut_off = true;
+    // The accepting thread takes the first one. A queue of length 0 holds one connection.
+    listen(m_listener, 0);
+    const sockaddr_in address = make_address(m_ip, m_port);
+    for (int index = 0; index < fillers; ++index)
+    {
+        m_fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+        connect(m_fillers.back(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    }
+}
+
+void replica::reconnect()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_is_cut_off = false;
+    for (const int each : m_fillers)
+        close(each);
+    m_fillers.clear();
+    listen(m_listener, backlog);
+    m_woken.notify_all();
+}
+
 void replica::accept_connections()
 {
     int listener = -1;
@@ -324,7 +351,8 @@
         const int on = 1;
         setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         const auto peer = std::make_shared<connection>(descriptor);
-        const std::scoped_lock lock(m_mutex);
+        std::unique_lock lock(m_mutex);
+        m_woken.wait(lock, [this] { return !m_is_cut_off; });
         if (m_listener != listener)
             break;
         m_connections.push_back(peer);
@@ -337,8 +365,17 @@
 {
     constexpr std::chrono::seconds idle_time{100};
     while (const auto request = peer->read_message(idle_time))
+    {
+        {
+            std::unique_lock lock(m_mutex);
+            const bool was_cut_off = m_is_cut_off;
+            m_woken.wait(lock, [this] { return !m_is_cut_off; });
+            if (was_cut_off)
+                break;
+        }
         if (!m_on_request(*this, *peer, *request))
             break;
+    }
     peer->shut_down();
     const std::scoped_lock lock(m_mutex);
     std::erase(m_connections, peer);
--- a/review/stand-ins-3/deployment.hpp
+++ b/review/stand-ins-3/deployment.hpp
@@ -8,6 +8,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <cstdint>
 #include <cstdio>
 #include <functional>
@@ -141,6 +142,13 @@
     /// Ends like a process that is killed: closes the listener and all connections.
     void stop();
 
+    /// Is partitioned from the gateways: new connections hang, and what arrives on the open ones is
+    /// held up. The replica's entry in the store stays.
+    void cut_off();
+    /// Ends the partition. What was held up is lost, since its senders have closed their
+    /// connections.
+    void reconnect();
+
     /// Records that the request has begun to run; returns its receipt.
     std::string run(const message& request, const std::string& sender);
     /// Requests that have run, in their order.
@@ -164,12 +172,17 @@
     const handler m_on_request;
     unsigned m_port = 0;
     mutable std::mutex m_mutex;
-    // Guarded by m_mutex.
+    // Notified when a partition ends.
+    std::condition_variable m_woken;
+    // Guarded by m_mutex, with the members below.
     int m_listener = -1;
     std::vector<std::shared_ptr<connection>> m_connections;
     std::vector<std::thread> m_threads;
     std::vector<arrival> m_runs;
     unsigned m_receipts = 0;
+    bool m_is_cut_off = false;
+    // Fill the listener's queue during a partition, so that the kernel drops further connections.
+    std::vector<int> m_fillers;
 };
 
 /// One gateway process, started with the command of the deploy file.
