Review: make the sources of the cases pass the linter

Change: includes from the root of the repository, and what the linter found: an unchecked return value, a string that is not moved, a concatenation.

--- a/review/11/trial.cpp
+++ b/review/11/trial.cpp
@@ -9,7 +9,7 @@
 
 #include <fmt/format.h>
 
-#include "deployment.hpp"
+#include "review/stand-ins-3/deployment.hpp"
 
 namespace
 {
--- a/review/13/trial.cpp
+++ b/review/13/trial.cpp
@@ -10,7 +10,7 @@
 
 #include <fmt/format.h>
 
-#include "deployment.hpp"
+#include "review/stand-ins-3/deployment.hpp"
 
 namespace
 {
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -5,7 +5,7 @@
 out=target/review-3
 rm -rf "$out"
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -Isource -I. -Ireview/stand-ins-3
+flags=(-std=c++20 -O1 -Wall -Wextra -Wno-mismatched-new-delete -Isource -I.
   -DBOOST_ASIO_SEPARATE_COMPILATION -DBOOST_BEAST_SEPARATE_COMPILATION -DBOOST_ASIO_NO_DEPRECATED
   -DBOOST_ASIO_HAS_CO_AWAIT=1 -DBOOST_ASIO_HAS_STD_COROUTINE=1 $(pkg-config --cflags jsoncpp libxxhash))
 libraries=(target/source/http/libospreystair_http.a target/source/base/libospreystair_base.a
--- a/review/stand-ins-3/deployment.cpp
+++ b/review/stand-ins-3/deployment.cpp
@@ -1,6 +1,6 @@
 // Sockets, processes and the stand-ins' answers.
 
-#include "deployment.hpp"
+#include "review/stand-ins-3/deployment.hpp"
 
 #include <algorithm>
 #include <cctype>
@@ -78,7 +78,7 @@
     std::srand(static_cast<unsigned>(getpid()) ^ static_cast<unsigned>(time(nullptr)));
     for (unsigned number = 0; number < tries; ++number)
     {
-        const std::string result =
+        std::string result =
             fmt::format("127.{}.{}.", 20 + std::rand() % 200, 1 + std::rand() % 250);
         bool is_free = true;
         for (std::size_t index = 0; index < gateways && is_free; ++index)
@@ -321,7 +321,11 @@
     for (int index = 0; index < fillers; ++index)
     {
         m_fillers.push_back(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-        connect(m_fillers.back(), reinterpret_cast<const sockaddr*>(&address), sizeof address);
+        // The connections of a full queue stay in progress.
+        if (connect(m_fillers.back(), reinterpret_cast<const sockaddr*>(&address),
+                    sizeof address) != 0 &&
+            errno != EINPROGRESS)
+            give_up("cannot fill the queue of " + m_id);
     }
 }
 
